--- a/src/bin/linenknot-simhost/codec.rs
+++ b/src/bin/sillflow-adapter/codec.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read};
 
-use linenknot::interface::{Action, Event, Gauges, Outcome, Request, RequestId};
+use sillflow::interface::{Action, Event, Gauges, Outcome, Request, RequestId};
 
 /// One batch as it came in.
 pub struct Batch {
--- a/src/bin/linenknot-simhost/host.rs
+++ b/src/bin/sillflow-adapter/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use linenknot::{Action, Controller, Event};
+use sillflow::{Action, Controller, Event};
 
 use crate::codec::{Batch, Record, Reply, Wire, gauges};
 use crate::settings;
--- a/src/bin/linenknot-simhost/main.rs
+++ b/src/bin/sillflow-adapter/main.rs
@@ -24,7 +24,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("linenknot-simhost: {problem}");
+            eprintln!("sillflow-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/linenknot-simhost/settings.rs
+++ b/src/bin/sillflow-adapter/settings.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use linenknot::interface::{Below, Class, Effect, SayKind, Settings, Tenant};
+use sillflow::interface::{Below, Class, Effect, SayKind, Settings, Tenant};
 
 /// The pairs of one `env` text.
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A script of events with explicit time: no server model, only bookkeeping of what was told and asked.
 #![allow(dead_code)]
 
-use linenknot::interface::{Below, Class, Effect, Request};
-use linenknot::{Action, Controller, Event, Gauges, Outcome, RequestId, Settings};
+use sillflow::interface::{Below, Class, Effect, Request};
+use sillflow::{Action, Controller, Event, Gauges, Outcome, RequestId, Settings};
 
 pub const SAFE: usize = 0;
 pub const PLAIN: usize = 1;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use linenknot::interface::{Below, Class, Effect, SayKind, Tenant};
-use linenknot::{Action, Controller, Event, Outcome, RequestId, Settings};
+use sillflow::interface::{Below, Class, Effect, SayKind, Tenant};
+use sillflow::{Action, Controller, Event, Outcome, RequestId, Settings};
 
 fn calls(out: &[Action]) -> usize {
     out.iter().filter(|action| matches!(action, Action::Call { .. })).count()
@@ -232,7 +232,7 @@
         let mut script = Script::new(settings());
         let mut out = Vec::new();
         for id in 0..40 {
-            let request = linenknot::interface::Request { further, ..request(id, PLAIN) };
+            let request = sillflow::interface::Request { further, ..request(id, PLAIN) };
             out.extend(script.after(5.0, &[Event::Request(request)]));
         }
         out.iter().filter(|action| matches!(action, Action::Refuse { last: true, .. })).count()
@@ -275,7 +275,7 @@
     let mut script = Script::new(settings);
     for id in 1000..1040 {
         let due = Some(script.now + 10.0 + left);
-        script.after(10.0, &[Event::Request(linenknot::interface::Request { due, ..request(id, PLAIN) })]);
+        script.after(10.0, &[Event::Request(sillflow::interface::Request { due, ..request(id, PLAIN) })]);
         script.done(150.0, id);
     }
     script
@@ -288,7 +288,7 @@
         let mut out = Vec::new();
         for id in 1..40 {
             let due = Some(script.now + 5.0 + left - spread * f64::from(id));
-            let request = linenknot::interface::Request { due, ..request(id, PLAIN) };
+            let request = sillflow::interface::Request { due, ..request(id, PLAIN) };
             out.extend(script.after(5.0, &[Event::Request(request)]));
         }
         out.iter().filter(|action| matches!(action, Action::Refuse { last: true, .. })).count()
@@ -306,7 +306,7 @@
     script.submit(2, PLAIN);
     script.submit(3, PLAIN);
     let try_with =
-        |id, left, now| linenknot::interface::Request { due: Some(now + left), ..request(id, PLAIN) };
+        |id, left, now| sillflow::interface::Request { due: Some(now + left), ..request(id, PLAIN) };
     let aged = try_with(4, 900.0, script.now);
     assert!(refused(&script.after(0.0, &[Event::Request(aged)]), 4), "1.1 s of an aim of 1 s are gone");
     let first = try_with(5, 2000.0, script.now);
@@ -321,7 +321,7 @@
         let mut script = Script::new(set);
         for id in 1000..1200 {
             let due = Some(script.now);
-            let past = linenknot::interface::Request { further, due, ..request(id, PLAIN) };
+            let past = sillflow::interface::Request { further, due, ..request(id, PLAIN) };
             assert!(refused(&script.after(10.0, &[Event::Request(past)]), id));
         }
         (1..7).filter(|id| refused(&script.submit(*id, PLAIN), *id)).count()
@@ -382,7 +382,7 @@
     for id in 1..20 {
         script.after(
             5.0,
-            &[Event::Request(linenknot::interface::Request { waited_ms: 900.0, ..request(id, KEYED) })],
+            &[Event::Request(sillflow::interface::Request { waited_ms: 900.0, ..request(id, KEYED) })],
         );
         script.done(1.0, id);
     }
@@ -426,7 +426,7 @@
         let mut script = Script::new(Settings { callers: 1000, idle_ms: 30_000.0, ..settings() });
         let mut last = None;
         for id in 0..40 {
-            let late = linenknot::interface::Request { waited_ms, ..request(id, PLAIN) };
+            let late = sillflow::interface::Request { waited_ms, ..request(id, PLAIN) };
             script.after(1.0, &[Event::Request(late)]);
             script.done(1.0, id);
             for action in script.idle(100.0, demand) {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use linenknot::interface::{Below, Effect, SayKind, Tenant};
-use linenknot::{Action, Event, Gauges, Outcome, RequestId, Settings};
+use sillflow::interface::{Below, Effect, SayKind, Tenant};
+use sillflow::{Action, Event, Gauges, Outcome, RequestId, Settings};
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum State {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use linenknot::interface::Below;
-use linenknot::{Action, Event, Outcome, RequestId, Settings};
+use sillflow::interface::Below;
+use sillflow::{Action, Event, Outcome, RequestId, Settings};
 
 #[test]
 fn what_never_ran_is_refused_and_what_runs_is_failed_before_it_is_due() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn host(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linenknot-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sillflow-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
