--- /dev/null
+++ b/src/back/control.rs
@@ -0,0 +1,45 @@
+//! The control plane: reports of readiness, one UDP datagram each.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::exchange::Handle;
+
+/// Time between reports: an entry lapses after three seconds, so two may be lost.
+const PERIOD: Duration = Duration::from_millis(800);
+
+/// Reports for as long as the node lives, and at once when its health changes.
+///
+/// # Errors
+/// No socket can be had.
+pub async fn report(name: String, own: SocketAddr, control: SocketAddr, exchange: Handle) -> io::Result<()> {
+    let socket = UdpSocket::bind(SocketAddr::new(own.ip(), 0)).await?;
+    let mut posture = exchange.posture();
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut said = None;
+    loop {
+        let healthy = posture.borrow_and_update().healthy;
+        // Before the processor is up there is nothing to report: it would list a node that cannot serve.
+        if healthy || said.is_some() {
+            let state = if healthy { "Ready" } else { "NotReady" };
+            if said.replace(healthy) != Some(healthy) {
+                info!("reporting {state}");
+            }
+            if let Err(problem) = socket.send_to(format!("lease {name} {state}").as_bytes(), control).await {
+                warn!("a report cannot be sent: {problem}");
+            }
+        }
+        while Some(posture.borrow().healthy) == said.or(Some(false)) {
+            tokio::select! {
+                _ = ticks.tick() => break,
+                changed = posture.changed() => if changed.is_err() { return Ok(()) },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/back/processor.rs
@@ -0,0 +1,361 @@
+//! The processor: JSON objects, one to a line, over one link that is taken up again when it breaks.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, Bytes, BytesMut};
+use log::{info, warn};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use winnow::combinator::terminated;
+use winnow::error::{ContextError, ErrMode};
+use winnow::token::take_till;
+use winnow::{ModalResult, Parser, Partial};
+
+use super::{RETRY, next_retry};
+use crate::exchange::{Command, Handle, Input, TryId};
+use crate::interface::Outcome;
+
+/// The longest line that is read.
+const LINE_BYTES: usize = 64 * 1024;
+/// Commands written in one go.
+const WRITE_BATCH: usize = 64;
+
+/// Why a link is given up.
+#[derive(Debug, Error)]
+enum Broken {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("the processor closed it")]
+    Closed,
+    #[error("a line of over {LINE_BYTES} bytes")]
+    Long,
+    #[error("a line that is no notice: {0}")]
+    Notice(#[from] serde_json::Error),
+}
+
+/// A command as it stands on its line.
+#[derive(Serialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+enum Line<'a> {
+    Hello {
+        seq: u64,
+    },
+    Begin {
+        id: &'a str,
+        class: &'a str,
+        #[serde(serialize_with = "to_base64")]
+        body: &'a Bytes,
+    },
+    Answer {
+        id: &'a str,
+        #[serde(serialize_with = "to_base64")]
+        body: &'a Bytes,
+    },
+    Without {
+        id: &'a str,
+        seq: u64,
+    },
+    Usage {
+        tag: String,
+    },
+}
+
+fn to_base64<S: Serializer>(body: &&Bytes, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_str(&STANDARD.encode(body))
+}
+
+/// A notice as it stands on its line.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "op", rename_all = "lowercase")]
+enum Notice {
+    Hi {
+        end: String,
+        ms: f64,
+    },
+    Complete {
+        seq: u64,
+        #[serde(deserialize_with = "try_id")]
+        id: TryId,
+        end: End,
+        #[serde(default)]
+        ms: f64,
+        #[serde(default, deserialize_with = "from_base64")]
+        body: Bytes,
+    },
+    Ask {
+        seq: u64,
+        #[serde(deserialize_with = "try_id")]
+        id: TryId,
+        #[serde(default, deserialize_with = "from_base64")]
+        body: Bytes,
+    },
+    Used {
+        tag: String,
+        values: Vec<f32>,
+    },
+    Reject {
+        end: String,
+        id: String,
+    },
+    Remark {
+        seq: u64,
+    },
+    #[serde(other)]
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum End {
+    Ok,
+    Failed,
+    Halted,
+    Void,
+}
+
+fn try_id<'de, D: Deserializer<'de>>(from: D) -> Result<TryId, D::Error> {
+    let text = String::deserialize(from)?;
+    TryId::parse(text.as_bytes()).ok_or_else(|| D::Error::custom("an id that is not 16 digits"))
+}
+
+fn from_base64<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
+    let text = Option::<String>::deserialize(from)?.unwrap_or_default();
+    STANDARD.decode(text).map(Bytes::from).map_err(D::Error::custom)
+}
+
+fn line<'a>(input: &mut Partial<&'a [u8]>) -> ModalResult<&'a [u8]> {
+    terminated(take_till(0.., b'\n'), b'\n').parse_next(input)
+}
+
+/// The link to the processor and all that outlives a break of it.
+pub struct Link {
+    address: SocketAddr,
+    classes: Vec<String>,
+    exchange: Handle,
+    commands: mpsc::UnboundedReceiver<Command>,
+    /// The number of the last notice that was read.
+    seq: u64,
+    /// Commands that no answer to a later question for gauges has proved read, oldest first.
+    unproved: VecDeque<Command>,
+    /// A question that is answered once all notices missed have been read, while that is awaited.
+    barrier: Option<u64>,
+    barriers: u64,
+    out: Vec<u8>,
+}
+
+impl Link {
+    /// A link that is not up yet.
+    pub fn new(
+        address: SocketAddr,
+        classes: Vec<String>,
+        exchange: Handle,
+        commands: mpsc::UnboundedReceiver<Command>,
+    ) -> Self {
+        let unproved = VecDeque::new();
+        Self {
+            address,
+            classes,
+            exchange,
+            commands,
+            seq: 0,
+            unproved,
+            barrier: None,
+            barriers: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Keeps the link up for as long as the node lives.
+    pub async fn keep(mut self) {
+        let mut wait = Duration::ZERO;
+        loop {
+            match TcpStream::connect(self.address).await {
+                Ok(stream) => {
+                    let broken = self.use_link(stream).await;
+                    warn!("the link to the processor broke after notice {}: {broken}", self.seq);
+                    wait = RETRY.0;
+                }
+                Err(problem) => {
+                    warn!("the processor cannot be reached: {problem}");
+                    wait = next_retry(wait);
+                }
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    async fn use_link(&mut self, stream: TcpStream) -> Broken {
+        if let Err(problem) = stream.set_nodelay(true) {
+            return problem.into();
+        }
+        let (mut from, mut to) = stream.into_split();
+        match self.work(&mut from, &mut to).await {
+            Ok(()) => Broken::Closed,
+            Err(broken) => broken,
+        }
+    }
+
+    /// Says hello, and asks a question whose answer comes after all that was missed.
+    fn greet(&mut self) {
+        self.out.clear();
+        self.barriers += 1;
+        self.barrier = Some(self.barriers);
+        let hello = Line::Hello { seq: self.seq };
+        self.put(&hello);
+        let tag = format!("sync-{}", self.barriers);
+        self.put(&Line::Usage { tag });
+    }
+
+    async fn work(&mut self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf) -> Result<(), Broken> {
+        self.greet();
+        let mut buffer = BytesMut::new();
+        let mut batch = Vec::new();
+        loop {
+            if !self.out.is_empty() {
+                to.write_all(&self.out).await?;
+                self.out.clear();
+            }
+            tokio::select! {
+                read = from.read_buf(&mut buffer) => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    self.read_notices(&mut buffer).await?;
+                }
+                _ = self.commands.recv_many(&mut batch, WRITE_BATCH), if self.barrier.is_none() => {
+                    for command in batch.drain(..) {
+                        self.put_command(&command);
+                        self.unproved.push_back(command);
+                    }
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, line: &Line<'_>) {
+        // A line holds numbers and text only: it can always be written.
+        if serde_json::to_writer(&mut self.out, line).is_ok() {
+            self.out.push(b'\n');
+        }
+    }
+
+    fn put_command(&mut self, command: &Command) {
+        let class_name;
+        let line = match command {
+            Command::Begin { of, class, body } => {
+                class_name = self.classes[*class].clone();
+                Line::Begin { id: of.as_str(), class: &class_name, body }
+            }
+            Command::Answer { of, body } => Line::Answer { id: of.as_str(), body },
+            Command::Without { of, notice } => Line::Without { id: of.as_str(), seq: *notice },
+            Command::Measure { tag } => Line::Usage { tag: tag.to_string() },
+        };
+        self.put(&line);
+    }
+
+    async fn read_notices(&mut self, buffer: &mut BytesMut) -> Result<(), Broken> {
+        loop {
+            let mut input = Partial::new(&buffer[..]);
+            let (notice, length) = match line(&mut input) {
+                Ok(text) => (serde_json::from_slice(text)?, text.len() + 1),
+                Err(ErrMode::<ContextError>::Incomplete(_)) if buffer.len() <= LINE_BYTES => return Ok(()),
+                Err(_) => return Err(Broken::Long),
+            };
+            buffer.advance(length);
+            self.take(notice).await;
+        }
+    }
+
+    async fn take(&mut self, notice: Notice) {
+        let input = match notice {
+            Notice::Hi { end, ms } => Input::Up { cold: end == "cold", age_ms: ms },
+            Notice::Complete { seq, id, end, ms, body } if self.is_new(seq, id) => {
+                let outcome = match end {
+                    End::Ok => Outcome::Ok,
+                    End::Failed => Outcome::Error,
+                    End::Halted => Outcome::Cancelled,
+                    End::Void => Outcome::Moot,
+                };
+                Input::RunEnded { of: id, outcome, took_ms: ms, result: body }
+            }
+            Notice::Ask { seq, id, body } if self.is_new(seq, id) => {
+                Input::RunWaits { of: id, notice: seq, body }
+            }
+            Notice::Used { tag, values } => return self.take_gauges(&tag, values).await,
+            Notice::Reject { end, id } => return self.rejected(&end, &id).await,
+            Notice::Remark { seq } => {
+                self.seq = self.seq.max(seq);
+                return;
+            }
+            Notice::Complete { .. } | Notice::Ask { .. } | Notice::Unknown => return,
+        };
+        self.exchange.tell(input).await;
+    }
+
+    /// Counts a notice. One that was read before is not new; a new one proves that what was commanded of the
+    /// same run before has been read.
+    fn is_new(&mut self, seq: u64, id: TryId) -> bool {
+        if seq <= self.seq {
+            return false;
+        }
+        self.seq = seq;
+        if self.barrier.is_some() {
+            self.unproved.retain(|command| run_of(command) != Some(id));
+        }
+        true
+    }
+
+    async fn take_gauges(&mut self, tag: &str, values: Vec<f32>) {
+        if let Some(barrier) = self.barrier {
+            if tag == format!("sync-{barrier}") {
+                self.resume();
+            }
+            return;
+        }
+        let Ok(tag) = tag.parse() else { return };
+        // Lines are read in order, so all commands before the question have been read as well.
+        if let Some(at) = self.unproved.iter().position(|command| *command == Command::Measure { tag }) {
+            self.unproved.drain(..=at);
+        }
+        self.exchange.tell(Input::Gauges { tag, values }).await;
+    }
+
+    /// All missed notices are read. Commands that a break may have swallowed are given again: to begin a run
+    /// that runs does nothing, and none of those that are left has been seen to end.
+    fn resume(&mut self) {
+        self.barrier = None;
+        let again = std::mem::take(&mut self.unproved);
+        if !again.is_empty() {
+            info!("giving the processor {} commands again", again.len());
+        }
+        for command in again {
+            self.put_command(&command);
+            self.unproved.push_back(command);
+        }
+    }
+
+    async fn rejected(&mut self, command: &str, id: &str) {
+        warn!("the processor rejects {command} of {id}");
+        if let Some(of) = TryId::parse(id.as_bytes()).filter(|_| command == "begin") {
+            let result = Bytes::new();
+            self.exchange.tell(Input::RunEnded { of, outcome: Outcome::Error, took_ms: 0.0, result }).await;
+        }
+    }
+}
+
+fn run_of(command: &Command) -> Option<TryId> {
+    match command {
+        Command::Begin { of, .. } | Command::Answer { of, .. } | Command::Without { of, .. } => Some(*of),
+        Command::Measure { .. } => None,
+    }
+}
--- /dev/null
+++ b/src/back/records.rs
@@ -0,0 +1,235 @@
+//! The records service: HTTP/1.1, one call at a time on a connection. Each connection is a task; between calls
+//! it waits on a stack of idle ones.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use log::{debug, warn};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+use winnow::ascii::{crlf, dec_uint, space0};
+use winnow::combinator::{delimited, preceded, repeat, separated_pair, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::token::{take_till, take_while};
+use winnow::{ModalResult, Parser, Partial};
+
+use crate::exchange::{Call, Handle, Input};
+use crate::interface::Outcome;
+
+/// An idle connection is closed after this: sooner than the other side does it, so that no call meets the end.
+const IDLE: Duration = Duration::from_secs(8);
+/// Time past the stated wait in which the other side's own word on it may come.
+const GRACE: Duration = Duration::from_millis(20);
+/// Bytes of a reply's head, and of its body, that are read at the most.
+const HEAD_BYTES: usize = 16 * 1024;
+const BODY_BYTES: usize = 256 * 1024;
+
+/// Why a reply cannot be read.
+#[derive(Debug, Error)]
+enum Bad {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("the connection ended")]
+    Closed,
+    #[error("not an HTTP reply")]
+    Head,
+    #[error("a reply that is too long")]
+    Long,
+}
+
+/// The head of a reply.
+#[derive(Debug, Default, PartialEq)]
+struct Head {
+    status: u16,
+    length: usize,
+    not_begun: bool,
+    close: bool,
+}
+
+struct Response {
+    head: Head,
+    body: Bytes,
+}
+
+fn header<'a>(input: &mut Partial<&'a [u8]>) -> ModalResult<(&'a [u8], &'a [u8])> {
+    let name = take_while(1.., |c: u8| c.is_ascii_graphic() && c != b':');
+    let value = take_till(0.., |c| c == b'\r' || c == b'\n');
+    terminated(separated_pair(name, (b':', space0), value), crlf).parse_next(input)
+}
+
+fn head(input: &mut Partial<&[u8]>) -> ModalResult<Head> {
+    let status = preceded((b"HTTP/1.", take_while(1, b'0'..=b'9'), b' '), dec_uint::<_, u16, _>);
+    let rest = take_till(0.., |c| c == b'\r' || c == b'\n');
+    let status = delimited((), status, (rest, crlf)).parse_next(input)?;
+    let headers: Vec<(&[u8], &[u8])> = repeat(0.., header).parse_next(input)?;
+    crlf.parse_next(input)?;
+    let mut head = Head { status, ..Head::default() };
+    for (name, value) in headers {
+        let value = std::str::from_utf8(value).unwrap_or_default().trim();
+        if name.eq_ignore_ascii_case(b"content-length") {
+            head.length = value.parse().map_err(|_| ErrMode::Cut(ContextError::new()))?;
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            return Err(ErrMode::Cut(ContextError::new()));
+        } else if name.eq_ignore_ascii_case(b"op-not-begun") {
+            head.not_begun = value == "1";
+        } else if name.eq_ignore_ascii_case(b"connection") {
+            head.close = value.eq_ignore_ascii_case("close");
+        }
+    }
+    Ok(head)
+}
+
+/// What a call came to: a status, or proof that it never began, or neither.
+fn outcome(head: &Head) -> Outcome {
+    match head.status {
+        200 => Outcome::Ok,
+        409 if head.not_begun => Outcome::Moot,
+        _ if head.not_begun => Outcome::Full,
+        504 => Outcome::Timeout,
+        _ => Outcome::Error,
+    }
+}
+
+/// The calls' side of the proxy to the tier below.
+#[derive(Clone)]
+pub struct Records {
+    address: SocketAddr,
+    exchange: Handle,
+    idle: Rc<RefCell<Vec<oneshot::Sender<Call>>>>,
+}
+
+impl Records {
+    /// Nothing is connected before the first call.
+    pub fn new(address: SocketAddr, exchange: Handle) -> Self {
+        Self { address, exchange, idle: Rc::default() }
+    }
+
+    /// Makes the calls that come.
+    pub async fn serve(self, mut calls: mpsc::UnboundedReceiver<Call>) {
+        while let Some(call) = calls.recv().await {
+            self.place(call);
+        }
+    }
+
+    /// Hands a call to the connection that was used last, or to a new one.
+    fn place(&self, mut call: Call) {
+        while let Some(idle) = self.pop() {
+            match idle.send(call) {
+                Ok(()) => return,
+                Err(back) => call = back,
+            }
+        }
+        spawn_local(self.clone().connection(call));
+    }
+
+    fn pop(&self) -> Option<oneshot::Sender<Call>> {
+        self.idle.borrow_mut().pop()
+    }
+
+    async fn connection(self, mut call: Call) {
+        let since = Instant::now();
+        let wait = Duration::from_secs_f64(call.wait_ms / 1000.0);
+        let connected = tokio::select! {
+            connected = timeout(wait, TcpStream::connect(self.address)) => connected,
+            _ = &mut call.given_up => return,
+        };
+        let mut stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(problem)) => {
+                debug!("the tier below cannot be reached: {problem}");
+                return self.ended(&call, Outcome::ConnectFailed, since, Bytes::new()).await;
+            }
+            // Nothing was sent, so nothing can have begun.
+            Err(_) => return self.ended(&call, Outcome::ConnectFailed, since, Bytes::new()).await,
+        };
+        if let Err(problem) = stream.set_nodelay(true) {
+            warn!("a connection cannot be set up: {problem}");
+        }
+        loop {
+            if !self.make(&mut stream, call).await {
+                return;
+            }
+            let (hand_over, handed) = oneshot::channel();
+            self.idle.borrow_mut().push(hand_over);
+            call = tokio::select! {
+                biased;
+                Ok(next) = handed => next,
+                // Anything that can be read between calls, an end most of all, makes it of no use.
+                _ = stream.readable() => return,
+                () = sleep(IDLE) => return,
+            };
+        }
+    }
+
+    /// One call. False where the connection cannot be used again; to close it gives the call up.
+    async fn make(&self, stream: &mut TcpStream, mut call: Call) -> bool {
+        let since = Instant::now();
+        let wait = Duration::from_secs_f64(call.wait_ms / 1000.0);
+        let request = encode(&call, self.address);
+        let made = tokio::select! {
+            made = timeout(wait + GRACE, exchange_one(stream, &request)) => made,
+            _ = &mut call.given_up => return false,
+        };
+        let (outcome, reply, again) = match made {
+            Ok(Ok(response)) => (outcome(&response.head), response.body, !response.head.close),
+            Ok(Err(problem)) => {
+                debug!("a call broke off: {problem}");
+                (Outcome::Reset, Bytes::new(), false)
+            }
+            Err(_) => (Outcome::Timeout, Bytes::new(), false),
+        };
+        self.ended(&call, outcome, since, reply).await;
+        again
+    }
+
+    async fn ended(&self, call: &Call, outcome: Outcome, since: Instant, reply: Bytes) {
+        let took_ms = since.elapsed().as_secs_f64() * 1000.0;
+        let (id, serial) = (call.id, call.serial);
+        self.exchange.tell(Input::CallEnded { id, serial, outcome, took_ms, reply }).await;
+    }
+}
+
+fn encode(call: &Call, host: SocketAddr) -> Vec<u8> {
+    let mut request = format!(
+        "POST /records/op HTTP/1.1\r\nHost: {host}\r\nOp-Of: {}\r\nOp-Wait-Ms: {:.0}\r\nContent-Length: {}\r\n\r\n",
+        call.of,
+        call.wait_ms.max(1.0),
+        call.body.len()
+    )
+    .into_bytes();
+    request.extend_from_slice(&call.body);
+    request
+}
+
+async fn exchange_one(stream: &mut TcpStream, request: &[u8]) -> Result<Response, Bad> {
+    stream.write_all(request).await?;
+    let mut buffer = BytesMut::new();
+    let (head, start) = loop {
+        let mut input = Partial::new(&buffer[..]);
+        match head(&mut input) {
+            Ok(head) => break (head, buffer.len() - input.len()),
+            Err(ErrMode::Incomplete(_)) if buffer.len() <= HEAD_BYTES => more(stream, &mut buffer).await?,
+            Err(_) => return Err(Bad::Head),
+        }
+    };
+    if head.length > BODY_BYTES {
+        return Err(Bad::Long);
+    }
+    while buffer.len() < start + head.length {
+        more(stream, &mut buffer).await?;
+    }
+    let body = buffer.split_off(start).split_to(head.length).freeze();
+    Ok(Response { head, body })
+}
+
+async fn more(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), Bad> {
+    if stream.read_buf(buffer).await? == 0 { Err(Bad::Closed) } else { Ok(()) }
+}
--- a/src/bin/sillflow-adapter/codec.rs
+++ b/src/bin/sillflow-adapter/codec.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read};
 
-use sillflow::interface::{Action, Event, Gauges, Outcome, Request, RequestId};
+use sillflow::interface::{Action, Event, Outcome, Request, RequestId};
 
 /// One batch as it came in.
 pub struct Batch {
@@ -212,20 +212,6 @@
     })
 }
 
-/// Names the gauges that came with a timer.
-pub fn gauges(names: &[String], values: &[f32]) -> Gauges {
-    let mut out = Gauges::default();
-    for (name, value) in names.iter().zip(values) {
-        let value = Some(f64::from(*value));
-        match name.as_str() {
-            "core_use" => out.core_use = value,
-            "on_cores" => out.on_cores = value,
-            _ => {}
-        }
-    }
-    out
-}
-
 /// A reply under construction.
 #[derive(Default)]
 pub struct Reply {
--- a/src/bin/sillflow-adapter/host.rs
+++ b/src/bin/sillflow-adapter/host.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use sillflow::config::{Pairs, gauges, parse};
 use sillflow::{Action, Controller, Event};
 
-use crate::codec::{Batch, Record, Reply, Wire, gauges};
-use crate::settings;
+use crate::codec::{Batch, Record, Reply, Wire};
 
 /// The instances by number; `None` for one that has been stopped.
 #[derive(Default)]
@@ -26,9 +26,11 @@
             let number = match record {
                 Record::Attach { instance, seed, env } => {
                     let named = |problem: String| format!("instance {instance}: {problem}");
-                    let (settings, gauges) = settings::parse(&env).map_err(named)?;
-                    let controller = Controller::new(seed, settings).map_err(|e| named(e.to_string()))?;
-                    let fresh = Instance { controller, gauges, events: Vec::new(), touched: false };
+                    let site = Pairs::from_text(&env).and_then(|pairs| parse(&pairs)).map_err(named)?;
+                    let made = Controller::new(seed, site.settings);
+                    let controller = made.map_err(|e| named(e.to_string()))?;
+                    let fresh =
+                        Instance { controller, gauges: site.gauges, events: Vec::new(), touched: false };
                     self.0.insert(instance, Some(fresh));
                     instance
                 }
--- a/src/bin/sillflow-adapter/main.rs
+++ b/src/bin/sillflow-adapter/main.rs
@@ -2,7 +2,6 @@
 
 mod codec;
 mod host;
-mod settings;
 
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,121 @@
+//! What a node is told at its start: environment, JSON file and, for what the platform does not set, the
+//! operator's file.
+
+mod settings;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+pub use settings::{Pairs, Site, gauges, parse};
+
+/// Why a node cannot start.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// A variable of the environment is missing.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// A file cannot be read.
+    #[error("{path}: {cause}")]
+    File {
+        /// The file.
+        path: String,
+        /// What went wrong.
+        cause: std::io::Error,
+    },
+    /// A file is not what it should be.
+    #[error("{path}: {cause}")]
+    Json {
+        /// The file.
+        path: String,
+        /// What went wrong.
+        cause: serde_json::Error,
+    },
+    /// A value cannot be used.
+    #[error("{0}")]
+    Value(String),
+}
+
+/// All that one node needs to know.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, as the control plane knows it.
+    pub name: String,
+    /// Where front ends connect.
+    pub listen: SocketAddr,
+    /// Where the processor is reached.
+    pub processor: SocketAddr,
+    /// Where reports of readiness go.
+    pub control: SocketAddr,
+    /// The proxy to the tier below; absent in the last tier.
+    pub records: Option<SocketAddr>,
+    /// Seed for the decision module's random numbers.
+    pub seed: u64,
+    /// Time between the notice to leave and the stop.
+    pub stop: Duration,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The settings and their names.
+    pub site: Site,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    processor: SocketAddr,
+    control: SocketAddr,
+    records: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    stop_ms: u64,
+    limits: Limits,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Config {
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` go before what it says.
+    ///
+    /// # Errors
+    /// Says which variable, file or value is at fault.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|_| ConfigError::Unset("PROXY_CONFIG"))?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|cause| ConfigError::File { path: path.clone(), cause })?;
+        let file: File = serde_json::from_str(&text).map_err(|cause| ConfigError::Json { path, cause })?;
+        let mut config = Self::from_file(file)?;
+        if let Ok(name) = std::env::var("PROXY_NAME") {
+            config.name = name;
+        }
+        if let Ok(listen) = std::env::var("PROXY_LISTEN") {
+            let bad = |_| ConfigError::Value(format!("PROXY_LISTEN: '{listen}' is not an address"));
+            config.listen = listen.parse().map_err(bad)?;
+        }
+        Ok(config)
+    }
+
+    fn from_file(file: File) -> Result<Self, ConfigError> {
+        let bad_seed = |_| ConfigError::Value(format!("seed: '{}' is not a hexadecimal number", file.seed));
+        let seed =
+            if file.seed.is_empty() { 0 } else { u64::from_str_radix(&file.seed, 16).map_err(bad_seed)? };
+        let site = parse(&Pairs::from_json(&file.settings)).map_err(ConfigError::Value)?;
+        Ok(Self {
+            name: file.name,
+            listen: file.listen,
+            processor: file.processor,
+            control: file.control,
+            records: file.records,
+            seed,
+            stop: Duration::from_millis(file.stop_ms),
+            sockets: file.limits.sockets,
+            site,
+        })
+    }
+}
--- a/src/bin/sillflow-adapter/settings.rs
+++ b/src/config/settings.rs
@@ -1,14 +1,70 @@
-//! Reads the settings that an instance is given at its start.
+//! Reads the settings that a node is given at its start: path=value pairs, as text or flattened from JSON.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use sillflow::interface::{Below, Class, Effect, SayKind, Settings, Tenant};
+use serde_json::Value;
 
-/// The pairs of one `env` text.
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+use crate::interface::{Below, Class, Effect, Gauges, SayKind, Settings, Tenant};
+
+/// What the settings tell beside the numbers of the decision module: names, in the order of its lists.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// The settings of the decision module.
+    pub settings: Settings,
+    /// The names of the gauges, in the order in which their values come.
+    pub gauges: Vec<String>,
+    /// The names of the classes.
+    pub classes: Vec<String>,
+    /// The names of the tenants.
+    pub tenants: Vec<String>,
+}
+
+/// Settings by path.
+#[derive(Default)]
+pub struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    /// Reads one pair a line.
+    ///
+    /// # Errors
+    /// Names the line that holds no pair.
+    pub fn from_text(text: &str) -> Result<Self, String> {
+        let mut map = BTreeMap::new();
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            let (key, value) = line.split_once('=').ok_or_else(|| format!("settings: no '=' in '{line}'"))?;
+            map.insert(key.trim().to_owned(), value.trim().to_owned());
+        }
+        Ok(Self(map))
+    }
+
+    /// Flattens nested JSON into the same paths: lists of objects get a count and numbered items, lists of
+    /// plain values are joined with commas.
+    pub fn from_json(value: &Value) -> Self {
+        let mut pairs = Self::default();
+        pairs.flatten(String::new(), value);
+        pairs
+    }
+
+    fn flatten(&mut self, path: String, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => fields.iter().for_each(|(name, v)| self.flatten(below(name), v)),
+            Value::Array(items) if items.iter().all(|item| !item.is_object()) => {
+                let items: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path, items.join(","));
+            }
+            Value::Array(items) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(i, v)| self.flatten(below(&i.to_string()), v));
+            }
+            _ => {
+                self.0.insert(path, plain(value));
+            }
+        }
+    }
 
-impl Pairs<'_> {
     fn value<T: FromStr>(&self, key: &str, absent: T) -> Result<T, String> {
         match self.0.get(key) {
             None => Ok(absent),
@@ -20,7 +76,7 @@
         if number.is_finite() { Ok(number) } else { Err(format!("setting {key}: not a finite number")) }
     }
     fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>, String> {
-        let text = self.0.get(key).copied().unwrap_or("");
+        let text = self.0.get(key).map_or("", String::as_str);
         let items = text.split(',').filter(|item| !item.is_empty());
         items
             .map(|item| item.parse().map_err(|_| format!("setting {key}: '{item}' cannot be read")))
@@ -41,14 +97,15 @@
 /// The most classes or tenants that requests can name.
 const LIST_LIMIT: usize = 65_536;
 
-/// Settings and the names of the gauges, from the text of `env`.
-pub fn parse(text: &str) -> Result<(Settings, Vec<String>), String> {
-    let mut map = BTreeMap::new();
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        let (key, value) = line.split_once('=').ok_or_else(|| format!("settings: no '=' in '{line}'"))?;
-        map.insert(key.trim(), value.trim());
-    }
-    let pairs = Pairs(map);
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+/// The settings under the names that they have on the wire.
+///
+/// # Errors
+/// Names the setting that cannot be read, and its value.
+pub fn parse(pairs: &Pairs) -> Result<Site, String> {
     let info = |name: &str| pairs.number(&format!("family-info.{name}"));
     let count = |key: &str| -> Result<usize, String> {
         let n = pairs.value(key, 0usize)?;
@@ -57,9 +114,11 @@
     let calls: Vec<bool> = pairs.list("family-info.calls-by-class")?;
     let skips: Vec<f64> = pairs.list("family-info.degraded-worth")?;
     let effects = [("retryable", Effect::Safe), ("dedup", Effect::Keyed), ("fragile", Effect::Unsafe)];
-    let mut classes = Vec::new();
+    let name = |key: String| pairs.0.get(&key).cloned().unwrap_or_default();
+    let (mut classes, mut class_names) = (Vec::new(), Vec::new());
     for i in 0..count("classes.count")? {
         let field = |name: &str| format!("classes.{i}.{name}");
+        class_names.push(name(field("name")));
         classes.push(Class {
             aim_ms: pairs.number(&field("aim"))?,
             deadline_ms: pairs.number(&field("hard-limit"))?,
@@ -71,8 +130,9 @@
             skip_worth: skips.get(i).copied().unwrap_or(0.0),
         });
     }
-    let mut tenants = Vec::new();
+    let (mut tenants, mut tenant_names) = (Vec::new(), Vec::new());
     for i in 0..count("tenants.count")? {
+        tenant_names.push(name(format!("tenants.{i}.name")));
         tenants.push(Tenant { quota_per_s: pairs.number(&format!("tenants.{i}.quota-rps"))? });
     }
     let shared =
@@ -109,5 +169,20 @@
         idle_ms: info("idle")?,
         max_retry_after_ms: if advice { pairs.number("limits.max-retry-after")? } else { 0.0 },
     };
-    Ok((settings, pairs.list("family-info.gauges")?))
+    let gauges = pairs.list("family-info.gauges")?;
+    Ok(Site { settings, gauges, classes: class_names, tenants: tenant_names })
+}
+
+/// Names the gauges that came with a timer.
+pub fn gauges(names: &[String], values: &[f32]) -> Gauges {
+    let mut out = Gauges::default();
+    for (name, value) in names.iter().zip(values) {
+        let value = Some(f64::from(*value));
+        match name.as_str() {
+            "core_use" => out.core_use = value,
+            "on_cores" => out.on_cores = value,
+            _ => {}
+        }
+    }
+    out
 }
--- /dev/null
+++ b/src/exchange/core.rs
@@ -0,0 +1,533 @@
+//! Takes what has happened in batches, asks the decision module, and does as it says.
+
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use log::{debug, info, warn};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use tokio_util::time::{DelayQueue, delay_queue};
+
+use super::kept::{Kept, Key, State};
+use super::types::{Answer, Ask, Call, Command, Input, Posture, ReplyTo, TryId};
+use crate::config::{Site, gauges};
+use crate::interface::{Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, SettingsError};
+use crate::logic::Controller;
+
+/// Inputs taken into one batch at the most, so that timers have their turn in a flood.
+const BATCH: usize = 512;
+/// How long before a request is due it is answered whatever the decision module does, in ms.
+const FAILSAFE_MS: f64 = 20.0;
+/// Gauges that take longer than this to come are done without, in ms.
+const GAUGES_MS: u64 = 15;
+/// How much sooner than its process is stopped a node is done with all requests, in ms.
+const STOP_MARGIN_MS: f64 = 250.0;
+/// Grace on windows: each time limit grows by 50 ms on sockets.
+const WIRE_SLACK_MS: f64 = 50.0;
+
+/// Where the exchange's decisions go.
+pub(super) struct Outputs {
+    pub to_processor: mpsc::UnboundedSender<Command>,
+    pub to_below: mpsc::UnboundedSender<Call>,
+    pub shown: watch::Sender<Posture>,
+}
+
+/// A clock in ms that starts at Unix time and never runs backwards.
+struct Clock {
+    start_ms: f64,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start_ms: unix.as_secs_f64() * 1000.0, start: Instant::now() }
+    }
+
+    fn now(&self) -> f64 {
+        self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+/// One wait of the exchange.
+enum Wait {
+    /// The decision module asked to be woken.
+    Wake,
+    /// Gauges are late.
+    Gauges(u64),
+    /// A request is nearly due.
+    Due(RequestId),
+    /// A kept key has outlived its use.
+    Key(Key, RequestId),
+}
+
+/// How far a request has come.
+enum Phase {
+    Held,
+    Sharing,
+    Running,
+    Waiting(Pending),
+}
+
+/// The call that a run waits for.
+struct Pending {
+    notice: u64,
+    body: Bytes,
+    /// The number of the call that is out; the sender is dropped to give the call up.
+    placed: Option<(u64, oneshot::Sender<()>)>,
+}
+
+struct Entry {
+    of: TryId,
+    class: usize,
+    key: Option<Key>,
+    arrived: f64,
+    body: Bytes,
+    /// Gone once the request is answered or given up.
+    reply: Option<ReplyTo>,
+    /// Gone once the wait is over or called off: the queue uses its keys again.
+    due: Option<delay_queue::Key>,
+    phase: Phase,
+}
+
+impl Entry {
+    fn began(&self) -> bool {
+        matches!(self.phase, Phase::Running | Phase::Waiting(_))
+    }
+}
+
+/// The meeting point of client side and server side.
+pub struct Exchange {
+    controller: Controller,
+    seed: u64,
+    site: Site,
+    clock: Clock,
+    inputs: mpsc::Receiver<Input>,
+    out: Outputs,
+    waits: DelayQueue<Wait>,
+    entries: HashMap<RequestId, Entry>,
+    by_try: HashMap<TryId, RequestId>,
+    kept: Kept,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    posture: Posture,
+    asked: Option<(u64, delay_queue::Key)>,
+    tags: u64,
+    serials: u64,
+    up: bool,
+}
+
+impl Exchange {
+    pub(super) fn new(
+        seed: u64,
+        site: &Site,
+        inputs: mpsc::Receiver<Input>,
+        out: Outputs,
+    ) -> Result<Self, SettingsError> {
+        Ok(Self {
+            controller: Controller::new(seed, site.settings.clone())?,
+            seed,
+            site: site.clone(),
+            clock: Clock::new(),
+            inputs,
+            out,
+            waits: DelayQueue::new(),
+            entries: HashMap::new(),
+            by_try: HashMap::new(),
+            kept: Kept::default(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            posture: Posture::default(),
+            asked: None,
+            tags: 0,
+            serials: 0,
+            up: false,
+        })
+    }
+
+    /// Works until all that hold a handle are gone.
+    pub async fn run(mut self) {
+        loop {
+            tokio::select! {
+                input = self.inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                Some(wait) = poll_fn(|cx| self.waits.poll_expired(cx)), if !self.waits.is_empty() => {
+                    self.wait_over(wait.into_inner());
+                }
+            }
+            for _ in 1..BATCH {
+                let Ok(input) = self.inputs.try_recv() else { break };
+                self.take(input);
+            }
+            self.settle();
+        }
+    }
+
+    /// Lets the decision module answer until nothing new follows from its own actions.
+    fn settle(&mut self) {
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            self.up = true;
+            self.ask_controller(self.clock.now(), &events);
+        }
+        if *self.out.shown.borrow() != self.posture {
+            self.out.shown.send_replace(self.posture.clone());
+        }
+    }
+
+    fn ask_controller(&mut self, now: f64, events: &[Event]) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.controller.handle(now, events, &mut actions);
+        actions.drain(..).for_each(|action| self.carry_out(action));
+        self.actions = actions;
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Up { cold, age_ms } => self.processor_up(cold, age_ms),
+            Input::Submit(id, ask, reply) => self.submit(id, ask, reply),
+            Input::Abandon(id) => self.abandon(id),
+            Input::RunEnded { of, outcome, took_ms, result } => self.run_ended(of, outcome, took_ms, result),
+            Input::RunWaits { of, notice, body } => self.run_waits(of, notice, body),
+            Input::CallEnded { id, serial, outcome, took_ms, reply } => {
+                self.call_ended(id, serial, outcome, took_ms, reply);
+            }
+            Input::Gauges { tag, values } => {
+                if let Some((_, late)) = self.asked.take_if(|(asked, _)| *asked == tag) {
+                    self.waits.try_remove(&late);
+                    self.events.push(Event::Timer(gauges(&self.site.gauges, &values)));
+                }
+            }
+            Input::Drain { stop_in_ms } => {
+                info!("draining: {} requests open, {stop_in_ms} ms to the stop", self.entries.len());
+                let stop_at = self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0);
+                self.events.push(Event::Drain { stop_at });
+            }
+        }
+    }
+
+    /// Starts the decision module with the processor, whose age tells how far it has warmed.
+    fn processor_up(&mut self, cold: bool, age_ms: f64) {
+        if std::mem::replace(&mut self.up, true) {
+            return;
+        }
+        info!("the processor is up, {} since {age_ms} ms", if cold { "cold" } else { "warm" });
+        let mut settings = self.site.settings.clone();
+        settings.cold |= cold;
+        if let Ok(controller) = Controller::new(self.seed, settings) {
+            self.controller = controller;
+        }
+        self.ask_controller(self.clock.now() - age_ms.max(0.0), &[]);
+    }
+
+    fn submit(&mut self, id: RequestId, ask: Ask, reply: ReplyTo) {
+        let now = self.clock.now();
+        let settings = &self.site.settings;
+        let class = &settings.classes[ask.class];
+        let arrived = now - ask.waited_ms;
+        let key = match (class.effect, ask.op_key) {
+            (Effect::Keyed, Some(op)) => Some(Key::Operation(ask.class, op)),
+            (Effect::Safe, _) if settings.fresh_ms > 0.0 => {
+                ask.subject.map(|subject| Key::Subject(ask.class, subject))
+            }
+            _ => None,
+        };
+        if key.is_some() && self.kept.is_full() {
+            warn!("the table of keys is full: {} is turned away", ask.of);
+            let answer = Answer::Refused { stay_away_ms: settings.max_retry_after_ms, last: false };
+            return reply.send(answer, self.posture.level);
+        }
+        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived));
+        if let Some(key) = &key
+            && (earlier.is_none() || matches!(key, Key::Operation(..)))
+        {
+            // The newest try of an operation carries it, so a third try in one batch repeats the second.
+            self.kept.hold(key, id, arrived);
+        }
+        let left_ms = (class.deadline_ms - ask.waited_ms - FAILSAFE_MS).max(0.0);
+        let due = Some(self.waits.insert(Wait::Due(id), Duration::from_secs_f64(left_ms / 1000.0)));
+        self.events.push(Event::Request(Request {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            key: ask.subject,
+            due: None,
+            hint_ms: ask.hint_ms,
+            held_kb: ask.held_kb,
+            waited_ms: ask.waited_ms,
+            further: ask.further,
+            earlier,
+        }));
+        self.by_try.insert(ask.of, id);
+        let (of, class, body) = (ask.of, ask.class, ask.body);
+        let entry = Entry { of, class, key, arrived, body, reply: Some(reply), due, phase: Phase::Held };
+        self.entries.insert(id, entry);
+    }
+
+    fn abandon(&mut self, id: RequestId) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.reply = None;
+            self.events.push(Event::Gone(id));
+            self.settled(id);
+        }
+    }
+
+    /// Drops what is left of a request that is owed no answer any more. A run goes on to its end.
+    fn settled(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if let Some(due) = entry.due.take() {
+            self.waits.try_remove(&due);
+        }
+        if let Phase::Waiting(pending) = &mut entry.phase {
+            pending.placed = None;
+        }
+        if !entry.began() {
+            self.drop_unrun(id);
+        }
+    }
+
+    fn drop_unrun(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.remove(&id) else { return };
+        self.forget_try(entry.of, id);
+        if let Some(key) = entry.key.filter(|_| matches!(entry.phase, Phase::Held)) {
+            let waiting = self.kept.release(&key, id);
+            self.pass_on(waiting, &State::Failed);
+        }
+    }
+
+    fn forget_try(&mut self, of: TryId, id: RequestId) {
+        if self.by_try.get(&of) == Some(&id) {
+            self.by_try.remove(&of);
+        }
+    }
+
+    /// Sends the one answer. False where none is owed.
+    fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
+        let Some(entry) = self.entries.get_mut(&id) else { return false };
+        let Some(reply) = entry.reply.take() else { return false };
+        debug!("{} {answer:?}", entry.of);
+        reply.send(answer, self.posture.level);
+        if let Some(due) = entry.due.take() {
+            self.waits.try_remove(&due);
+        }
+        true
+    }
+
+    /// Answers those that waited for the end of another try, and tells the decision module.
+    fn pass_on(&mut self, waiting: Vec<RequestId>, state: &State) {
+        for id in waiting {
+            if self.entries.get(&id).is_some_and(|entry| matches!(entry.phase, Phase::Sharing)) {
+                self.share(id, state.clone());
+            }
+        }
+    }
+
+    fn share(&mut self, id: RequestId, state: State) {
+        let (answer, outcome) = match state {
+            State::Served(result) => (Answer::Served(result), Outcome::Ok),
+            _ => (Answer::Failed, Outcome::Error),
+        };
+        self.answer(id, answer);
+        self.events.push(Event::Done { id, outcome, took_ms: 0.0 });
+        self.drop_unrun(id);
+    }
+
+    fn run_ended(&mut self, of: TryId, outcome: Outcome, took_ms: f64, result: Bytes) {
+        let Some(&id) = self.by_try.get(&of) else { return };
+        if !self.entries.get(&id).is_some_and(Entry::began) {
+            return;
+        }
+        let answer = if outcome == Outcome::Ok { Answer::Served(result.clone()) } else { Answer::Failed };
+        self.answer(id, answer);
+        self.events.push(Event::Done { id, outcome, took_ms });
+        self.forget_try(of, id);
+        let Some(entry) = self.entries.remove(&id) else { return };
+        if let Some(key) = entry.key {
+            self.key_ended(key, id, outcome, result);
+        }
+    }
+
+    fn key_ended(&mut self, key: Key, id: RequestId, outcome: Outcome, result: Bytes) {
+        let state = if outcome == Outcome::Ok { State::Served(result) } else { State::Failed };
+        let fresh = matches!(key, Key::Subject(..)).then(|| {
+            let fresh_ms = if outcome == Outcome::Ok { self.site.settings.fresh_ms } else { 0.0 };
+            self.waits.insert(Wait::Key(key.clone(), id), Duration::from_secs_f64(fresh_ms / 1000.0));
+            self.clock.now() + fresh_ms
+        });
+        let waiting = self.kept.end(&key, id, state.clone(), fresh);
+        if outcome == Outcome::Moot {
+            // Proof that this try never ran: a later one may.
+            self.kept.expire(&key, id);
+        }
+        self.pass_on(waiting, &state);
+    }
+
+    fn run_waits(&mut self, of: TryId, notice: u64, body: Bytes) {
+        let Some(&id) = self.by_try.get(&of) else { return };
+        let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.began()) else { return };
+        entry.phase = Phase::Waiting(Pending { notice, body, placed: None });
+        self.events.push(Event::Needs(id));
+    }
+
+    fn call_ended(&mut self, id: RequestId, serial: u64, outcome: Outcome, took_ms: f64, reply: Bytes) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Phase::Waiting(pending) = &mut entry.phase else { return };
+        if pending.placed.take_if(|(placed, _)| *placed == serial).is_none() {
+            return;
+        }
+        if outcome == Outcome::Ok {
+            entry.phase = Phase::Running;
+            let _ = self.out.to_processor.send(Command::Answer { of: entry.of, body: reply });
+        }
+        self.events.push(Event::Called { id, outcome, took_ms });
+    }
+
+    fn wait_over(&mut self, wait: Wait) {
+        match wait {
+            Wait::Wake => self.measure(),
+            Wait::Gauges(tag) => {
+                if self.asked.take_if(|(asked, _)| *asked == tag).is_some() {
+                    self.events.push(Event::Timer(Gauges::default()));
+                }
+            }
+            Wait::Due(id) => self.overdue(id),
+            Wait::Key(key, id) => self.kept.expire(&key, id),
+        }
+    }
+
+    /// Guards against a decision module or a processor that says nothing: no request stays without answer.
+    fn overdue(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.due = None;
+        warn!("{} answered by the failsafe", entry.of);
+        let answer = match entry.phase {
+            Phase::Held => Answer::Refused { stay_away_ms: 0.0, last: false },
+            _ => Answer::Failed,
+        };
+        self.answer(id, answer);
+        self.events.push(Event::Gone(id));
+        self.settled(id);
+    }
+
+    fn measure(&mut self) {
+        self.tags += 1;
+        let late = self.waits.insert(Wait::Gauges(self.tags), Duration::from_millis(GAUGES_MS));
+        self.asked = Some((self.tags, late));
+        let _ = self.out.to_processor.send(Command::Measure { tag: self.tags });
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.start(id),
+            Action::Refuse { id, stay_away_ms, last } => self.refuse(id, stay_away_ms, last),
+            Action::Fail(id) => {
+                self.answer(id, Answer::Failed);
+                self.settled(id);
+            }
+            Action::Call { id, give_up_at } => self.call(id, give_up_at),
+            Action::Skip(id) => self.skip(id),
+            Action::Reuse(id) => self.reuse(id),
+            Action::Keep { id, .. } => self.keep(id),
+            // A held try leaves the table with its entry; one that ran must stay there.
+            Action::Forget(_) => {}
+            Action::Health { good } => self.posture.healthy = good,
+            Action::Say(value) if self.site.settings.say != SayKind::Off => self.posture.level = Some(value),
+            Action::Say(_) => {}
+            Action::CloseIdle { after_ms } => self.posture.idle_ms = Some(after_ms),
+            Action::Wake { after_ms } => {
+                let after = Duration::from_secs_f64(after_ms.max(0.0) / 1000.0);
+                self.waits.insert(Wait::Wake, after);
+            }
+        }
+    }
+
+    fn start(&mut self, id: RequestId) {
+        let settings = &self.site.settings;
+        let Some(entry) = self.entries.get_mut(&id).filter(|entry| matches!(entry.phase, Phase::Held)) else {
+            let moot = Event::Done { id, outcome: Outcome::Moot, took_ms: 0.0 };
+            return self.events.push(moot);
+        };
+        if let Some(key) = entry.key.clone() {
+            let class = &settings.classes[entry.class];
+            let whole = class.window_ms + settings.answer_slack_ms + 2.0 * WIRE_SLACK_MS;
+            let keyed = class.effect == Effect::Keyed;
+            let until = if keyed { entry.arrived + whole } else { f64::INFINITY };
+            if !self.kept.begin(&key, id, entry.arrived, until) {
+                warn!("{} repeats a run and is not run", entry.of);
+                entry.phase = Phase::Sharing;
+                let state = self.kept.share(&key, id);
+                return self.share_if_over(id, state);
+            }
+            if keyed {
+                // Held repeats that came in the window look the result up until they are due themselves.
+                let lasts_ms = (until - self.clock.now()).max(0.0) + class.deadline_ms;
+                let lasts = Duration::from_secs_f64(lasts_ms / 1000.0);
+                self.waits.insert(Wait::Key(key, id), lasts);
+            }
+        }
+        entry.phase = Phase::Running;
+        let (of, class, body) = (entry.of, entry.class, std::mem::take(&mut entry.body));
+        let _ = self.out.to_processor.send(Command::Begin { of, class, body });
+    }
+
+    fn refuse(&mut self, id: RequestId, stay_away_ms: f64, last: bool) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        // Nothing that ran, or shares a run, is ever refused: that would be a promise that it never ran.
+        let answer = match entry.phase {
+            Phase::Held => Answer::Refused { stay_away_ms, last },
+            _ => Answer::Failed,
+        };
+        self.answer(id, answer);
+        self.settled(id);
+    }
+
+    fn call(&mut self, id: RequestId, give_up_at: f64) {
+        self.serials += 1;
+        let now = self.clock.now();
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Phase::Waiting(pending) = &mut entry.phase else { return };
+        let (placed, given_up) = oneshot::channel();
+        pending.placed = Some((self.serials, placed));
+        let (of, body) = (entry.of, pending.body.clone());
+        let wait_ms = (give_up_at - now).max(1.0);
+        let call = Call { id, serial: self.serials, of, wait_ms, body, given_up };
+        let _ = self.out.to_below.send(call);
+    }
+
+    fn skip(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if let Phase::Waiting(Pending { notice, .. }) = entry.phase {
+            entry.phase = Phase::Running;
+            let _ = self.out.to_processor.send(Command::Without { of: entry.of, notice });
+        }
+    }
+
+    fn reuse(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id).filter(|entry| matches!(entry.phase, Phase::Held)) else {
+            return;
+        };
+        entry.phase = Phase::Sharing;
+        let state = match entry.key.as_ref() {
+            Some(key) => self.kept.share(key, id),
+            None => State::Failed,
+        };
+        self.share_if_over(id, state);
+    }
+
+    fn share_if_over(&mut self, id: RequestId, state: State) {
+        if !matches!(state, State::Held | State::Running) {
+            self.share(id, state);
+        }
+    }
+
+    fn keep(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        if let Some(key) = &entry.key {
+            self.kept.hold(key, id, entry.arrived);
+        }
+    }
+}
--- /dev/null
+++ b/src/exchange/mod.rs
@@ -0,0 +1,71 @@
+//! The core of a node: requests, attempts and outcomes. It owns the decision module and carries out every
+//! action of it. Client side and server side are tasks of their own that meet only here.
+
+mod core;
+mod kept;
+mod types;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::config::Site;
+use crate::interface::{RequestId, SettingsError};
+
+pub use self::core::Exchange;
+pub use types::{Answer, Ask, Call, Command, Input, Posture, Reply, ReplyTo, TryId};
+
+/// Inputs that wait for the exchange before those who give them have to.
+const INPUTS: usize = 4096;
+
+/// The side of an exchange that clients and servers hold.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: mpsc::Sender<Input>,
+    next_id: Rc<Cell<u32>>,
+    posture: watch::Receiver<Posture>,
+}
+
+impl Handle {
+    /// Hands over a request; its answer goes to `reply`.
+    pub async fn submit(&self, ask: Ask, reply: ReplyTo) -> RequestId {
+        let id = RequestId(self.next_id.get());
+        self.next_id.set(id.0.wrapping_add(1).max(1));
+        self.tell(Input::Submit(id, ask, reply)).await;
+        id
+    }
+
+    /// Tells of anything else that has happened.
+    pub async fn tell(&self, input: Input) {
+        // The exchange ends only with the process.
+        let _ = self.inputs.send(input).await;
+    }
+
+    /// What the node shows of itself, now and as it changes.
+    pub fn posture(&self) -> watch::Receiver<Posture> {
+        self.posture.clone()
+    }
+}
+
+/// The queues from the exchange to the server side.
+pub struct Servers {
+    /// To the processor.
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    /// To the tier below.
+    pub calls: mpsc::UnboundedReceiver<Call>,
+}
+
+/// Makes an exchange and what its two sides need.
+///
+/// # Errors
+/// The settings make no sense to the decision module.
+pub fn new(seed: u64, site: &Site) -> Result<(Exchange, Handle, Servers), SettingsError> {
+    let (inputs, from_sides) = mpsc::channel(INPUTS);
+    let (to_processor, commands) = mpsc::unbounded_channel();
+    let (to_below, calls) = mpsc::unbounded_channel();
+    let (shown, posture) = watch::channel(Posture::default());
+    let exchange = Exchange::new(seed, site, from_sides, core::Outputs { to_processor, to_below, shown })?;
+    let handle = Handle { inputs, next_id: Rc::new(Cell::new(1)), posture };
+    Ok((exchange, handle, Servers { commands, calls }))
+}
--- /dev/null
+++ b/src/exchange/types.rs
@@ -0,0 +1,232 @@
+//! What client side and server side hand to the exchange and get from it. No socket and no wire is named here.
+
+use std::fmt;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+
+use crate::interface::{Outcome, RequestId};
+
+/// The name of one try of a request, as its caller and the processor know it: 16 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct TryId([u8; 16]);
+
+impl TryId {
+    /// Takes exactly 16 hexadecimal digits.
+    pub fn parse(text: &[u8]) -> Option<Self> {
+        let digits: [u8; 16] = text.try_into().ok()?;
+        digits.iter().all(u8::is_ascii_hexdigit).then_some(Self(digits))
+    }
+
+    /// The digits.
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+impl fmt::Display for TryId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Debug for TryId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A request as a front has read it.
+#[derive(Debug)]
+pub struct Ask {
+    /// The name of this try.
+    pub of: TryId,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: usize,
+    /// In keyed classes: the same for all tries of one request.
+    pub op_key: Option<Arc<str>>,
+    /// What a read is about.
+    pub subject: Option<u64>,
+    /// Whether it is marked as a further try.
+    pub further: bool,
+    /// Rough expected work, in ms.
+    pub hint_ms: Option<f64>,
+    /// Memory while held, in kB.
+    pub held_kb: f64,
+    /// Time since it came to the machine, in ms.
+    pub waited_ms: f64,
+    /// The body, as it came.
+    pub body: Bytes,
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Served, with the result of the run.
+    Served(Bytes),
+    /// Turned away; this try never ran.
+    Refused {
+        /// How long to stay away, in ms; 0 for no advice.
+        stay_away_ms: f64,
+        /// Whether no other node is to be tried.
+        last: bool,
+    },
+    /// Failed, with no promise that it never ran.
+    Failed,
+}
+
+/// An answer on its way to the client that is owed it.
+#[derive(Debug)]
+pub struct Reply {
+    /// The client's own name for the request.
+    pub token: u64,
+    /// The answer.
+    pub answer: Answer,
+    /// The free value that goes with it.
+    pub level: Option<f64>,
+    /// The request's place on its connection, free again once this is written.
+    pub slot: Option<OwnedSemaphorePermit>,
+}
+
+/// Where the answer to a request goes. It can be used once.
+#[derive(Debug)]
+pub struct ReplyTo {
+    /// The client's queue.
+    pub queue: mpsc::UnboundedSender<Reply>,
+    /// The client's own name for the request.
+    pub token: u64,
+    /// The request's place on its connection.
+    pub slot: Option<OwnedSemaphorePermit>,
+}
+
+impl ReplyTo {
+    pub(super) fn send(self, answer: Answer, level: Option<f64>) {
+        // A client that has gone has no use for its answer.
+        let _ = self.queue.send(Reply { token: self.token, answer, level, slot: self.slot });
+    }
+}
+
+/// What happens to a node.
+#[derive(Debug)]
+pub enum Input {
+    /// The processor is up; nothing is decided before.
+    Up {
+        /// Whether it started cold.
+        cold: bool,
+        /// How long ago it started, in ms.
+        age_ms: f64,
+    },
+    /// A client asks.
+    Submit(RequestId, Ask, ReplyTo),
+    /// A client waits no longer.
+    Abandon(RequestId),
+    /// A run is over.
+    RunEnded {
+        /// Whose run.
+        of: TryId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took, in ms.
+        took_ms: f64,
+        /// The result, where it went well.
+        result: Bytes,
+    },
+    /// A run waits for a call to what lies below.
+    RunWaits {
+        /// Whose run.
+        of: TryId,
+        /// The processor's number for this wait.
+        notice: u64,
+        /// The body of the call.
+        body: Bytes,
+    },
+    /// A call has ended.
+    CallEnded {
+        /// Whose call.
+        id: RequestId,
+        /// Which of its calls.
+        serial: u64,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took, in ms.
+        took_ms: f64,
+        /// The reply, where it went well.
+        reply: Bytes,
+    },
+    /// The gauges that were asked for under this tag.
+    Gauges {
+        /// The tag of the question.
+        tag: u64,
+        /// The values, in the order of the settings.
+        values: Vec<f32>,
+    },
+    /// The notice to leave: the process is stopped after this many ms.
+    Drain {
+        /// Time until the stop, in ms.
+        stop_in_ms: f64,
+    },
+}
+
+/// What the processor is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Run a request.
+    Begin {
+        /// Which.
+        of: TryId,
+        /// Index of its class.
+        class: usize,
+        /// Its body.
+        body: Bytes,
+    },
+    /// The reply to the call that a run waits for.
+    Answer {
+        /// Whose run.
+        of: TryId,
+        /// The reply.
+        body: Bytes,
+    },
+    /// Go on without the call.
+    Without {
+        /// Whose run.
+        of: TryId,
+        /// The processor's number for the wait.
+        notice: u64,
+    },
+    /// Ask for the gauges.
+    Measure {
+        /// Comes back with them.
+        tag: u64,
+    },
+}
+
+/// A call to what lies below.
+#[derive(Debug)]
+pub struct Call {
+    /// The request that it is made for.
+    pub id: RequestId,
+    /// Which of its calls.
+    pub serial: u64,
+    /// The try that it is made for.
+    pub of: TryId,
+    /// How long it may take, in ms.
+    pub wait_ms: f64,
+    /// The body.
+    pub body: Bytes,
+    /// Resolves when the call is given up.
+    pub given_up: oneshot::Receiver<()>,
+}
+
+/// What a node shows of itself between requests.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Posture {
+    /// Whether it wants traffic.
+    pub healthy: bool,
+    /// The free value, once there is one.
+    pub level: Option<f64>,
+    /// Connections idle for this many ms are closed, where that is wished.
+    pub idle_ms: Option<f64>,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,12 @@
 #![doc = include_str!("../README.md")]
 
+pub mod back;
+pub mod config;
+pub mod exchange;
+pub mod front;
 pub mod interface;
 pub mod logic;
+pub mod node;
 mod validate;
 
 pub use interface::{Action, Event, Gauges, Outcome, RequestId, Settings, SettingsError};
