Add the AJP front on the same exchange, with a harness that plays one script over both fronts

AJP13 as a web server speaks it: bodies over several packets, connections used again while an earlier request's run is paused, CPING/CPONG, refusals as 503 with Retry-After.

Seen while writing it: one request a minute past its due time makes the module refuse the next ones early, since it takes the wait for a flood of unread requests.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: environment, JSON file and, for what the platform does not set, the
 //! operator's file.
 
+mod operator;
 mod settings;
 
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+pub use operator::{Ajp, Operator};
 pub use settings::{Pairs, Site, gauges, parse};
 
 /// Why a node cannot start.
@@ -33,6 +35,14 @@
         /// What went wrong.
         cause: serde_json::Error,
     },
+    /// The operator's file is not what it should be.
+    #[error("{path}: {cause}")]
+    Toml {
+        /// The file.
+        path: String,
+        /// What went wrong.
+        cause: toml::de::Error,
+    },
     /// A value cannot be used.
     #[error("{0}")]
     Value(String),
@@ -59,6 +69,8 @@
     pub sockets: usize,
     /// The settings and their names.
     pub site: Site,
+    /// What the operator has set.
+    pub operator: Operator,
 }
 
 #[derive(Deserialize)]
@@ -91,6 +103,7 @@
             .map_err(|cause| ConfigError::File { path: path.clone(), cause })?;
         let file: File = serde_json::from_str(&text).map_err(|cause| ConfigError::Json { path, cause })?;
         let mut config = Self::from_file(file)?;
+        config.operator = Operator::from_env()?;
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
@@ -116,6 +129,7 @@
             stop: Duration::from_millis(file.stop_ms),
             sockets: file.limits.sockets,
             site,
+            operator: Operator::default(),
         })
     }
 }
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -19,6 +19,13 @@
         digits.iter().all(u8::is_ascii_hexdigit).then_some(Self(digits))
     }
 
+    /// A name for a try whose caller gives none.
+    pub fn random() -> Self {
+        let mut digits = [0; 16];
+        digits.fill_with(|| b"0123456789abcdef"[fastrand::usize(..16)]);
+        Self(digits)
+    }
+
     /// The digits.
     pub fn as_str(&self) -> &str {
         std::str::from_utf8(&self.0).unwrap_or_default()
--- /dev/null
+++ b/src/front/ajp.rs
@@ -0,0 +1,430 @@
+//! The second front: AJP13, as a web server speaks it to the servers behind it. A connection carries one
+//! request at a time and is used again as soon as that is answered, whatever has become of its run.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use log::{debug, warn};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use winnow::binary::{be_u8, be_u16};
+use winnow::combinator::{alt, preceded, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::token::take;
+use winnow::{ModalResult, Parser, Partial};
+
+use super::{Shared, waited_ms};
+use crate::config::Ajp;
+use crate::exchange::{Answer, Ask, Input, Reply, ReplyTo, TryId};
+use crate::interface::RequestId;
+
+/// Bytes of one packet from the web server, without its head, and of one chunk of a body in it.
+const PACKET_BYTES: usize = 8188;
+const CHUNK_BYTES: usize = 8184;
+/// The longest body that is taken.
+const BODY_BYTES: usize = 64 * 1024;
+/// A web server that stops in the middle of a body is given up after this.
+const BODY_WAIT: Duration = Duration::from_secs(10);
+
+/// What every connection of this front shares.
+pub struct Front {
+    /// What it shares with other fronts.
+    pub shared: Rc<Shared>,
+    /// What the operator has set.
+    pub options: Ajp,
+}
+
+/// Why a connection is closed.
+#[derive(Debug, Error)]
+enum Bad {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("the web server closed it")]
+    Closed,
+    #[error("not an AJP13 packet")]
+    Packet,
+    #[error("not a request of AJP13")]
+    Request,
+    #[error("unknown packet of type {0}")]
+    Kind(u8),
+    #[error("a body that stands still")]
+    Stalled,
+}
+
+/// The name of a header: one of the protocol's numbers, or text.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Name<'a> {
+    Coded(u8),
+    Text(&'a [u8]),
+}
+
+impl Name<'_> {
+    fn is(&self, code: u8, text: &str) -> bool {
+        match self {
+            Name::Coded(coded) => *coded == code,
+            Name::Text(name) => name.eq_ignore_ascii_case(text.as_bytes()),
+        }
+    }
+}
+
+/// A forwarded request: what this front makes use of.
+#[derive(Debug, Default)]
+struct Forward<'a> {
+    method: u8,
+    uri: &'a str,
+    headers: Vec<(Name<'a>, &'a str)>,
+    secret: Option<&'a [u8]>,
+}
+
+const GET: u8 = 2;
+const HEAD: u8 = 3;
+const POST: u8 = 4;
+/// No number of the protocol: matches by text alone.
+const UNCODED: u8 = 0;
+const CONTENT_LENGTH: u8 = 8;
+
+fn string<'a>(input: &mut &'a [u8]) -> ModalResult<&'a [u8]> {
+    let absent = be_u16.verify(|n| *n == 0xffff).value(&[][..]);
+    let present = be_u16.flat_map(|n| terminated(take(n), 0u8));
+    alt((absent, present)).parse_next(input)
+}
+
+fn text<'a>(input: &mut &'a [u8]) -> ModalResult<&'a str> {
+    string.try_map(std::str::from_utf8).parse_next(input)
+}
+
+fn name<'a>(input: &mut &'a [u8]) -> ModalResult<Name<'a>> {
+    alt((preceded(0xa0u8, be_u8).map(Name::Coded), string.map(Name::Text))).parse_next(input)
+}
+
+fn forward<'a>(input: &mut &'a [u8]) -> ModalResult<Forward<'a>> {
+    let (method, _protocol, uri) = (be_u8, string, text).parse_next(input)?;
+    let (_address, _host, _server, _port, _tls) =
+        (string, string, string, be_u16, be_u8).parse_next(input)?;
+    let mut request = Forward { method, uri, ..Forward::default() };
+    for _ in 0..be_u16.parse_next(input)? {
+        request.headers.push((name, text).parse_next(input)?);
+    }
+    loop {
+        match be_u8.parse_next(input)? {
+            0xff => return Ok(request),
+            0x0a => drop((string, string).parse_next(input)?),
+            0x0b => drop(be_u16.parse_next(input)?),
+            0x0c => request.secret = Some(string.parse_next(input)?),
+            0x01..=0x09 | 0x0d => drop(string.parse_next(input)?),
+            _ => return Err(ErrMode::Cut(ContextError::new())),
+        }
+    }
+}
+
+fn packet<'a>(input: &mut Partial<&'a [u8]>) -> ModalResult<&'a [u8]> {
+    let length =
+        preceded(b"\x12\x34", be_u16).verify(|n| usize::from(*n) <= PACKET_BYTES).parse_next(input)?;
+    take(length).parse_next(input)
+}
+
+impl<'a> Forward<'a> {
+    fn header(&self, code: u8, text: &str) -> Option<&'a str> {
+        self.headers.iter().find(|(name, _)| name.is(code, text)).map(|(_, value)| *value)
+    }
+
+    /// How much body follows; `None` where only its end will tell.
+    fn length(&self) -> Result<Option<usize>, Bad> {
+        match self.header(CONTENT_LENGTH, "content-length") {
+            Some(length) => length.trim().parse().map(Some).map_err(|_| Bad::Request),
+            None if self.header(UNCODED, "transfer-encoding").is_some() => Ok(None),
+            None => Ok(Some(0)),
+        }
+    }
+
+    fn path(&self) -> &'a str {
+        self.uri.split(['?', ';']).next().unwrap_or_default()
+    }
+
+    /// The request in the core's terms, but for its body; else the status that answers it.
+    fn ask(&self, front: &Front) -> Result<Ask, u16> {
+        if front.options.secret.is_some() && front.options.secret.as_deref().map(str::as_bytes) != self.secret
+        {
+            return Err(403);
+        }
+        let class =
+            self.path().rsplit('/').next().and_then(|name| front.shared.classes.get(name)).ok_or(404u16)?;
+        if !matches!(self.method, GET | HEAD | POST) {
+            return Err(405);
+        }
+        let number = |name: &str| -> Result<Option<f64>, u16> {
+            let Some(value) = self.header(UNCODED, name) else { return Ok(None) };
+            value.parse().ok().filter(|value: &f64| value.is_finite()).map(Some).ok_or(400)
+        };
+        let op_key = self.header(UNCODED, "op-key").map(Arc::from);
+        if front.shared.keyed[*class] && op_key.is_none() {
+            return Err(400);
+        }
+        let of = match self.header(UNCODED, "op-req") {
+            Some(req) => TryId::parse(req.as_bytes()).ok_or(400u16)?,
+            None => TryId::random(),
+        };
+        let subject = self.header(UNCODED, "op-subject");
+        Ok(Ask {
+            of,
+            class: *class,
+            tenant: self
+                .header(UNCODED, "op-owner")
+                .and_then(|name| front.shared.tenants.get(name))
+                .copied()
+                .unwrap_or(0),
+            op_key,
+            subject: subject.map(|hex| u64::from_str_radix(hex, 16).map_err(|_| 400u16)).transpose()?,
+            further: self.header(UNCODED, "op-resent") == Some("1"),
+            hint_ms: number("op-work-ms")?,
+            held_kb: number("op-need-kb")?.unwrap_or(0.0).max(0.0),
+            waited_ms: number("op-ts")?.map_or(0.0, waited_ms),
+            body: Bytes::new(),
+        })
+    }
+}
+
+/// A response with its headers, under construction.
+struct Response {
+    status: u16,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
+}
+
+impl Response {
+    fn new(status: u16) -> Self {
+        Self { status, headers: Vec::new(), body: Bytes::new() }
+    }
+
+    fn of(reply: Reply) -> Self {
+        let mut response = match reply.answer {
+            Answer::Served(body) => Self { status: 200, headers: Vec::new(), body },
+            Answer::Failed => Self::new(500),
+            Answer::Refused { stay_away_ms, last } => {
+                let mut refusal = Self::new(503);
+                refusal.headers.push(("Retry-After", format!("{:.0}", (stay_away_ms / 1000.0).ceil())));
+                refusal.headers.push(("Op-Holdoff-Ms", format!("{stay_away_ms:.0}")));
+                if last {
+                    refusal.headers.push(("Op-No-More", "1".to_owned()));
+                }
+                refusal
+            }
+        };
+        response.headers.extend(reply.level.map(|level| ("Op-Signal", format!("{level:.4}"))));
+        response
+    }
+
+    fn reason(&self) -> &'static str {
+        match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            403 => "Forbidden",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            413 => "Content Too Large",
+            503 => "Service Unavailable",
+            _ => "Internal Server Error",
+        }
+    }
+
+    /// All packets of the response; `reuse` says whether the connection may carry a further request.
+    fn encode(&self, method: u8, reuse: bool) -> Vec<u8> {
+        let mut head = vec![4];
+        head.extend_from_slice(&self.status.to_be_bytes());
+        put_string(&mut head, self.reason());
+        head.extend_from_slice(&(self.headers.len() as u16 + 1).to_be_bytes());
+        put_string(&mut head, "Content-Length");
+        put_string(&mut head, &self.body.len().to_string());
+        for (name, value) in &self.headers {
+            put_string(&mut head, name);
+            put_string(&mut head, value);
+        }
+        let mut out = Vec::with_capacity(self.body.len() + head.len() + 32);
+        put_packet(&mut out, &head);
+        for chunk in self.body.chunks(CHUNK_BYTES).filter(|_| method != HEAD) {
+            let length = (chunk.len() as u16).to_be_bytes();
+            put_packet(&mut out, &[&[3], &length[..], chunk, &[0]].concat());
+        }
+        put_packet(&mut out, &[5, u8::from(reuse)]);
+        out
+    }
+}
+
+fn put_string(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(&(text.len() as u16).to_be_bytes());
+    out.extend_from_slice(text.as_bytes());
+    out.push(0);
+}
+
+fn put_packet(out: &mut Vec<u8>, payload: &[u8]) {
+    out.extend_from_slice(b"AB");
+    out.extend_from_slice(&(payload.len() as u16).to_be_bytes());
+    out.extend_from_slice(payload);
+}
+
+struct Link {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Link {
+    async fn packet(&mut self) -> Result<Bytes, Bad> {
+        loop {
+            let mut input = Partial::new(&self.buffer[..]);
+            match packet(&mut input) {
+                Ok(payload) => {
+                    let length = payload.len();
+                    self.buffer.advance(4);
+                    return Ok(self.buffer.split_to(length).freeze());
+                }
+                Err(ErrMode::Incomplete(_)) => {}
+                Err(_) => return Err(Bad::Packet),
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(Bad::Closed);
+            }
+        }
+    }
+
+    async fn send(&mut self, payload: &[u8]) -> Result<(), Bad> {
+        let mut out = Vec::new();
+        put_packet(&mut out, payload);
+        Ok(self.stream.write_all(&out).await?)
+    }
+
+    /// Reads a body to its end, asking for each chunk but the first of a body whose length is known.
+    async fn body(&mut self, length: Option<usize>) -> Result<Bytes, Bad> {
+        let mut body = BytesMut::new();
+        let mut ask = length.is_none();
+        while length.is_none_or(|length| body.len() < length) {
+            if ask {
+                let wanted = length.map_or(CHUNK_BYTES, |length| (length - body.len()).min(CHUNK_BYTES));
+                self.send(&[&[6], &(wanted as u16).to_be_bytes()[..]].concat()).await?;
+            }
+            ask = true;
+            let payload = self.packet().await?;
+            // An empty packet, or one with an empty chunk, ends the body.
+            let chunk = payload.get(2..).unwrap_or_default();
+            let told = payload.get(..2).map_or(0, |size| usize::from(u16::from_be_bytes([size[0], size[1]])));
+            if told == 0 {
+                break;
+            }
+            body.extend_from_slice(chunk.get(..told).ok_or(Bad::Packet)?);
+            if body.len() > length.unwrap_or(BODY_BYTES) {
+                return Err(Bad::Packet);
+            }
+        }
+        if length.is_some_and(|length| body.len() < length) { Err(Bad::Request) } else { Ok(body.freeze()) }
+    }
+
+    /// Resolves when the web server gives the connection up. Bytes that come early are kept for later, up to
+    /// one packet.
+    async fn given_up(&mut self) {
+        while self.buffer.len() < PACKET_BYTES {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending().await
+    }
+}
+
+/// Serves one connection to its end.
+pub async fn connection(stream: TcpStream, front: Rc<Front>) {
+    let link = Link { stream, buffer: BytesMut::new() };
+    match serve(link, &front).await {
+        Ok(()) => {}
+        Err(Bad::Closed | Bad::Io(_)) => debug!("a web server's connection ended"),
+        Err(bad) => warn!("a web server's connection is closed: {bad}"),
+    }
+}
+
+async fn serve(mut link: Link, front: &Front) -> Result<(), Bad> {
+    let (queue, mut replies) = mpsc::unbounded_channel();
+    let mut token = 0;
+    loop {
+        let payload = link.packet().await?;
+        match payload.first() {
+            Some(2) => {
+                token += 1;
+                let reply_to = ReplyTo { queue: queue.clone(), token, slot: None };
+                if !request(&mut link, front, &payload[1..], reply_to, &mut replies).await? {
+                    return Ok(());
+                }
+            }
+            Some(10) => link.send(&[9]).await?,
+            // To stop a server over the wire is not offered; a plain ping wants nothing.
+            Some(8) | None => {}
+            Some(kind) => return Err(Bad::Kind(*kind)),
+        }
+    }
+}
+
+/// Serves one request. False where the connection is to be closed after it.
+async fn request(
+    link: &mut Link,
+    front: &Front,
+    payload: &[u8],
+    reply_to: ReplyTo,
+    replies: &mut mpsc::UnboundedReceiver<Reply>,
+) -> Result<bool, Bad> {
+    let forward = forward.parse(payload).map_err(|_| Bad::Request)?;
+    let length = forward.length()?;
+    let mut reuse = !front.shared.closing.is_cancelled();
+    let response = if length.is_some_and(|length| length > BODY_BYTES) {
+        reuse = false;
+        Response::new(413)
+    } else {
+        let body = timeout(BODY_WAIT, link.body(length)).await.map_err(|_| Bad::Stalled)??;
+        if forward.path() == front.options.health && !front.options.health.is_empty() {
+            health(front)
+        } else {
+            match forward.ask(front) {
+                Ok(ask) => answer(link, front, Ask { body, ..ask }, reply_to, replies).await?,
+                Err(status) => Response::new(status),
+            }
+        }
+    };
+    reuse &= !front.shared.closing.is_cancelled();
+    link.stream.write_all(&response.encode(forward.method, reuse)).await?;
+    Ok(reuse)
+}
+
+fn health(front: &Front) -> Response {
+    let posture = front.shared.exchange.posture().borrow().clone();
+    let mut response = Response::new(if posture.healthy { 200 } else { 503 });
+    response.headers.extend(posture.level.map(|level| ("Op-Signal", format!("{level:.4}"))));
+    response
+}
+
+/// Asks the exchange and waits for the answer, or for the web server to wait no longer.
+async fn answer(
+    link: &mut Link,
+    front: &Front,
+    ask: Ask,
+    reply_to: ReplyTo,
+    replies: &mut mpsc::UnboundedReceiver<Reply>,
+) -> Result<Response, Bad> {
+    let token = reply_to.token;
+    let id: RequestId = front.shared.exchange.submit(ask, reply_to).await;
+    loop {
+        tokio::select! {
+            biased;
+            Some(reply) = replies.recv() => {
+                if reply.token == token {
+                    return Ok(Response::of(reply));
+                }
+            }
+            () = link.given_up() => {
+                front.shared.exchange.tell(Input::Abandon(id)).await;
+                return Err(Bad::Closed);
+            }
+        }
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Client side: fronts that turn bytes into typed requests and answers into bytes.
 
+pub mod ajp;
 pub mod resp;
 
 use std::collections::HashMap;
@@ -9,7 +10,7 @@
 
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Site;
@@ -54,10 +55,10 @@
 }
 
 /// Serves every connection of a listener until connections are to be given back, and then those that are left.
-pub async fn serve<F, C>(listener: TcpListener, most: usize, shared: Rc<Shared>, connection: C)
+pub async fn serve<F, C>(listener: TcpListener, most: usize, closing: CancellationToken, connection: C)
 where
     F: Future<Output = ()> + 'static,
-    C: Fn(TcpStream, Rc<Shared>) -> F,
+    C: Fn(TcpStream) -> F,
 {
     let mut open = JoinSet::new();
     loop {
@@ -66,14 +67,14 @@
             // Accepts come first: what waits in the backlog was accepted by the machine and is owed an answer.
             accepted = listener.accept(), if open.len() < most => accepted,
             Some(_) = open.join_next() => continue,
-            () = shared.closing.cancelled() => break,
+            () = closing.cancelled() => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 if let Err(problem) = stream.set_nodelay(true) {
                     warn!("a connection cannot be set up: {problem}");
                 }
-                open.spawn_local(connection(stream, shared.clone()));
+                open.spawn_local(connection(stream));
             }
             Err(problem) => {
                 warn!("no connection can be accepted: {problem}");
@@ -85,8 +86,3 @@
     info!("not listening any more, {} connections open", open.len());
     while open.join_next().await.is_some() {}
 }
-
-/// Runs a front as a task.
-pub fn spawn<F: Future<Output = ()> + 'static>(front: F) -> tokio::task::JoinHandle<()> {
-    spawn_local(front)
-}
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -71,8 +71,11 @@
     repeat(words, bulk).parse_next(input)
 }
 
-/// The next whole array at the front of `bytes`, and its length.
-fn frame(bytes: &[u8]) -> Result<Option<(Vec<&[u8]>, usize)>, Bad> {
+/// The words of one message, and how many bytes they stood in.
+type Frame<'a> = (Vec<&'a [u8]>, usize);
+
+/// The next whole array at the front of `bytes`.
+fn frame(bytes: &[u8]) -> Result<Option<Frame<'_>>, Bad> {
     let mut input = Partial::new(bytes);
     match array(&mut input) {
         Ok(words) => Ok(Some((words, bytes.len() - input.len()))),
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,20 +1,21 @@
 //! A whole node: its configuration, its exchange and the tasks of both sides, from start to stop.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use log::info;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::back::{control, processor, records};
 use crate::config::Config;
 use crate::exchange::{self, Handle, Input};
-use crate::front::{self, Shared, resp};
+use crate::front::{self, Shared, ajp, resp};
 use crate::interface::SettingsError;
 
 /// How long before its stop a node gives connections back and stops listening.
@@ -52,25 +53,37 @@
     spawn_local(control::report(config.name.clone(), config.listen, config.control, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(&config.site, handle.clone(), closing.clone());
-    let most = config.sockets * 3 / 4;
-    let front = spawn_local(front::serve(listener, most, shared, resp::connection));
+    let fronts = fronts(&config, listener, shared).await?;
     terminate.recv().await;
-    drain(config.stop, handle, closing, front).await;
+    drain(config.stop, handle, closing, fronts).await;
     Ok(())
 }
 
+/// Starts the platform's front and, where the operator has set it up, the one for AJP.
+async fn fronts(config: &Config, listener: TcpListener, shared: Rc<Shared>) -> io::Result<JoinSet<()>> {
+    let mut fronts = JoinSet::new();
+    let most = config.sockets * 3 / 4;
+    let closing = shared.closing.clone();
+    if let Some(options) = config.operator.ajp.clone() {
+        let listener = TcpListener::bind(options.listen).await?;
+        info!("{} listens for AJP on {}", config.name, listener.local_addr()?);
+        let front = Rc::new(ajp::Front { shared: shared.clone(), options });
+        let connection = move |stream| ajp::connection(stream, front.clone());
+        fronts.spawn_local(front::serve(listener, most / 2, closing.clone(), connection));
+    }
+    let most = if config.operator.ajp.is_some() { most / 2 } else { most };
+    let connection = move |stream| resp::connection(stream, shared.clone());
+    fronts.spawn_local(front::serve(listener, most, closing, connection));
+    Ok(fronts)
+}
+
 /// Leaves: tells the exchange, serves on, gives the connections back in good time, and ends when all are gone.
-async fn drain(
-    stop: Duration,
-    exchange: Handle,
-    closing: CancellationToken,
-    front: tokio::task::JoinHandle<()>,
-) {
+async fn drain(stop: Duration, exchange: Handle, closing: CancellationToken, fronts: JoinSet<()>) {
     let told = Instant::now();
     exchange.tell(Input::Drain { stop_in_ms: stop.as_secs_f64() * 1000.0 }).await;
     tokio::time::sleep_until(told + stop.saturating_sub(GIVE_BACK)).await;
     closing.cancel();
-    let left = tokio::time::timeout_at(told + stop.saturating_sub(LAST), front).await;
+    let left = tokio::time::timeout_at(told + stop.saturating_sub(LAST), fronts.join_all()).await;
     info!(
         "stopped {}",
         if left.is_ok() { "with every connection given back" } else { "with connections open" }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,369 @@
+//! One node as a process, with stand-ins for all that it talks to: a front end, a web server, the processor,
+//! the tier below and the control plane. Each listens on a port of its own; every wait ends by itself.
+#![allow(dead_code)]
+
+pub mod ajp;
+pub mod resp;
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+
+/// Past this a test has failed: far longer than anything takes that it waits for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings of a node with two cores, in the words of the platform. Limits are short, so tests are.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str, limit: f64, worth: f64| {
+        json!({"name": name, "effect": effect, "aim": limit / 2.0, "hard-limit": limit, "worth": worth,
+               "late-worth": 0.0, "repeat-window": 3000.0})
+    };
+    json!({
+        "classes": [class("history", "retryable", 1500.0, 1.0), class("plate-check", "retryable", 1500.0, 2.0),
+                    class("pay-session", "dedup", 1500.0, 3.0)],
+        "tenants": [{"name": "almaty", "portion": 1.0, "quota-rps": 1000.0}],
+        "family-info": {"cpus": 2, "memory-kb": 100000.0, "blowup": 8.0, "key-kb": 10.0, "below": "tier",
+            "calls-by-class": [true, false, true], "degraded-worth": [0.3, 0.0, 0.0], "say": "level",
+            "gauges": ["core_use", "on_cores", "heap_share", "links"], "idle": 30000.0, "senders": 3},
+        "clients": {"marks-retry": true}, "counted-by": "work", "servers": 3, "over-share-worth": 0.05,
+        "limits": {"retry-after": true, "max-retry-after": 1000.0},
+        "rules": {"answer-slack": 80.0, "drain-grace": 300.0, "fall": 3000.0, "fall-multiple": 5.0,
+                  "cold": 1000.0, "cold-from": 0.3},
+    })
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis() as u64
+}
+
+/// A try's name that no other test request has.
+pub fn try_id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// A node and its stand-ins.
+pub struct Node {
+    child: Child,
+    log: Receiver<String>,
+    seen: Vec<String>,
+    dir: PathBuf,
+    pub resp: String,
+    pub ajp: String,
+    pub processor: Processor,
+    pub records: Records,
+    pub control: UdpSocket,
+}
+
+impl Node {
+    pub fn start() -> Self {
+        Self::start_with(settings())
+    }
+
+    /// Starts a node with both fronts and waits until the control plane hears that it is ready.
+    pub fn start_with(settings: Value) -> Self {
+        let mut node = Self::launch(settings);
+        node.processor.greet("warm");
+        node.reported("Ready");
+        node
+    }
+
+    /// Starts a node whose processor has said nothing yet.
+    pub fn launch(settings: Value) -> Self {
+        let processor = Processor::listen();
+        let records = Records::listen();
+        let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        control.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let dir = std::env::temp_dir().join(format!("sillflow-{}-{}", std::process::id(), processor.port));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1500,
+            "processor": format!("127.0.0.1:{}", processor.port), "control": address(&control),
+            "records": format!("127.0.0.1:{}", records.port),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings});
+        std::fs::write(dir.join("config.json"), config.to_string()).expect("a file");
+        std::fs::write(dir.join("operator.toml"), "[ajp]\nlisten = \"127.0.0.1:0\"\n").expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sillflow"))
+            .env("PROXY_CONFIG", dir.join("config.json"))
+            .env("SILLFLOW_OPERATOR", dir.join("operator.toml"))
+            .env_remove("PROXY_NAME")
+            .env_remove("PROXY_LISTEN")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let log = lines(child.stderr.take().expect("a pipe"));
+        let (resp, ajp) = (String::new(), String::new());
+        let mut node = Self { child, log, seen: Vec::new(), dir, resp, ajp, processor, records, control };
+        node.resp = node.logged("listens on").rsplit(' ').next().unwrap_or_default().to_owned();
+        node.ajp = node.logged("listens for AJP on").rsplit(' ').next().unwrap_or_default().to_owned();
+        node
+    }
+
+    /// Waits for a line of the log.
+    pub fn logged(&mut self, part: &str) -> String {
+        loop {
+            if let Some(line) = self.seen.iter().find(|line| line.contains(part)) {
+                return line.clone();
+            }
+            let line = self.log.recv_timeout(PATIENCE);
+            self.seen.push(line.unwrap_or_else(|_| panic!("no '{part}' in the log: {:?}", self.seen)));
+        }
+    }
+
+    /// Waits for a report of this state.
+    pub fn reported(&mut self, state: &str) {
+        let mut datagram = [0; 64];
+        loop {
+            let length = self.control.recv(&mut datagram).expect("a report");
+            if datagram[..length] == *format!("lease n1 {state}").as_bytes() {
+                return;
+            }
+        }
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the node does not end");
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn address(socket: &UdpSocket) -> String {
+    socket.local_addr().expect("an address").to_string()
+}
+
+fn lines(from: impl Read + Send + 'static) -> Receiver<String> {
+    let (send, receive) = channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(from).lines().map_while(Result::ok) {
+            if send.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    receive
+}
+
+/// The processor: takes links, answers questions for gauges, and keeps every other command for the test.
+pub struct Processor {
+    pub port: u16,
+    links: Receiver<TcpStream>,
+    link: Arc<Mutex<Option<TcpStream>>>,
+    commands: Receiver<Value>,
+    put: Sender<Value>,
+    early: VecDeque<Value>,
+    seq: Arc<AtomicU64>,
+    automatic: Arc<AtomicBool>,
+}
+
+impl Processor {
+    fn listen() -> Self {
+        let (port, links) = accept();
+        let (put, commands) = channel();
+        let link = Arc::new(Mutex::new(None));
+        let (seq, automatic) = (Arc::default(), Arc::default());
+        Self { port, links, link, commands, put, early: VecDeque::new(), seq, automatic }
+    }
+
+    /// Takes the next link, says hi on it, and returns the number that the node resumes after.
+    pub fn greet(&mut self, state: &str) -> u64 {
+        let stream = self.links.recv_timeout(PATIENCE).expect("a link");
+        *self.link.lock().expect("a lock") = Some(stream.try_clone().expect("a handle"));
+        let (put, link) = (self.put.clone(), self.link.clone());
+        let (seq, automatic) = (self.seq.clone(), self.automatic.clone());
+        let mut reader = BufReader::new(stream);
+        let mut hello = String::new();
+        reader.read_line(&mut hello).expect("a line");
+        let hello: Value = serde_json::from_str(&hello).expect("hello is JSON");
+        assert_eq!(hello["op"], "hello");
+        self.say(json!({"op": "hi", "end": state, "ms": 5.0}));
+        std::thread::spawn(move || {
+            for line in reader.lines().map_while(Result::ok) {
+                let command: Value = serde_json::from_str(&line).expect("a command is JSON");
+                if command["op"] == "begin" && automatic.load(SeqCst) {
+                    let seq = seq.fetch_add(1, SeqCst) + 1;
+                    let id = &command["id"];
+                    send(
+                        &link,
+                        &json!({"op": "complete", "seq": seq, "id": id, "end": "ok", "ms": 1.0, "body": ""}),
+                    );
+                }
+                if command["op"] == "usage" {
+                    let used = json!({"op": "used", "tag": command["tag"], "values": [0.5, 2.0, 0.1, 3.0]});
+                    send(&link, &used);
+                } else if put.send(command).is_err() {
+                    return;
+                }
+            }
+        });
+        hello["seq"].as_u64().expect("a number")
+    }
+
+    pub fn say(&self, notice: Value) {
+        send(&self.link, &notice);
+    }
+
+    /// From now on each run that is begun ends well at once.
+    pub fn automatic(&self) {
+        self.automatic.store(true, SeqCst);
+    }
+
+    /// Says a numbered notice about a run.
+    pub fn notice(&mut self, op: &str, id: &str, more: Value) {
+        let seq = self.seq.fetch_add(1, SeqCst) + 1;
+        let mut notice = json!({"op": op, "seq": seq, "id": id});
+        notice.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
+        self.say(notice);
+    }
+
+    pub fn complete(&mut self, id: &str, result: &[u8]) {
+        self.notice("complete", id, json!({"end": "ok", "ms": 3.0, "body": STANDARD.encode(result)}));
+    }
+
+    /// Ends a run in another way than well.
+    pub fn end(&mut self, id: &str, end: &str) {
+        self.notice("complete", id, json!({"end": end, "ms": 3.0}));
+    }
+
+    pub fn ask(&mut self, id: &str, body: &[u8]) {
+        self.notice("ask", id, json!({"body": STANDARD.encode(body)}));
+    }
+
+    /// The next command with this word; others that come first are kept.
+    pub fn command(&mut self, op: &str) -> Value {
+        if let Some(at) = self.early.iter().position(|command| command["op"] == op) {
+            return self.early.remove(at).expect("it is there");
+        }
+        loop {
+            let command = self.commands.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no {op}"));
+            if command["op"] == op {
+                return command;
+            }
+            self.early.push_back(command);
+        }
+    }
+
+    /// The id of the next run.
+    pub fn begun(&mut self) -> String {
+        self.command("begin")["id"].as_str().expect("an id").to_owned()
+    }
+
+    /// How many commands with this word have come and were not taken.
+    pub fn count(&mut self, op: &str) -> usize {
+        self.early.extend(self.commands.try_iter());
+        self.early.iter().filter(|command| command["op"] == op).count()
+    }
+
+    pub fn break_link(&self) {
+        let link = self.link.lock().expect("a lock").take().expect("a link");
+        link.shutdown(std::net::Shutdown::Both).expect("a link to break");
+    }
+}
+
+fn send(link: &Arc<Mutex<Option<TcpStream>>>, notice: &Value) {
+    if let Some(link) = link.lock().expect("a lock").as_mut() {
+        let _ = link.write_all(format!("{notice}\n").as_bytes());
+    }
+}
+
+fn accept() -> (u16, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    let (send, receive) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let _ = stream.set_read_timeout(Some(PATIENCE));
+            if send.send(stream).is_err() {
+                return;
+            }
+        }
+    });
+    (port, receive)
+}
+
+/// The tier below: hands each call that comes to the test, with the connection it came on.
+pub struct Records {
+    pub port: u16,
+    connections: Receiver<TcpStream>,
+}
+
+/// A call, still to be answered.
+pub struct Called {
+    stream: TcpStream,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Records {
+    fn listen() -> Self {
+        let (port, connections) = accept();
+        Self { port, connections }
+    }
+
+    /// The first call on the next connection.
+    pub fn call(&self) -> Called {
+        read_call(self.connections.recv_timeout(PATIENCE).expect("a connection"))
+    }
+}
+
+fn read_call(mut stream: TcpStream) -> Called {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("a whole head");
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("text");
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")).expect("a length");
+    let mut body = vec![0; length.parse().expect("a number")];
+    stream.read_exact(&mut body).expect("a whole body");
+    Called { stream, head, body }
+}
+
+impl Called {
+    /// Answers, and returns the connection for the next call.
+    pub fn reply(mut self, status: &str, headers: &str, body: &[u8]) -> TcpStream {
+        let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+        self.stream.write_all(&[head.as_bytes(), body].concat()).expect("a reply");
+        self.stream
+    }
+
+    /// Whether the caller gives the call up before long.
+    pub fn given_up(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
+
+    pub fn cut(self) {
+        drop(self.stream);
+    }
+}
+
+pub fn next_call(stream: TcpStream) -> Called {
+    read_call(stream)
+}
--- /dev/null
+++ b/tests/support/resp.rs
@@ -0,0 +1,79 @@
+//! A front end on the platform's protocol.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+
+use super::{PATIENCE, unix_ms};
+
+pub struct FrontEnd {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub tag: String,
+    pub word: String,
+    pub fields: String,
+    pub body: Vec<u8>,
+}
+
+pub fn array(words: &[&[u8]]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        out.extend(format!("${}\r\n", word.len()).bytes());
+        out.extend_from_slice(word);
+        out.extend(b"\r\n");
+    }
+    out
+}
+
+impl FrontEnd {
+    pub fn connect(address: &str) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let reader = BufReader::new(stream.try_clone().expect("a handle"));
+        Self { stream, reader }
+    }
+
+    pub fn send(&mut self, words: &[&[u8]]) {
+        self.stream.write_all(&array(words)).expect("a write");
+    }
+
+    /// Asks; `more` goes behind the usual fields.
+    pub fn ask(&mut self, tag: u64, class: &str, req: &str, more: &str, body: &[u8]) {
+        self.ask_at(unix_ms(), tag, class, req, more, body);
+    }
+
+    pub fn ask_at(&mut self, ts: u64, tag: u64, class: &str, req: &str, more: &str, body: &[u8]) {
+        let fields = format!("req={req},ts={ts},via=4,owner=almaty,ms=12.50,need=24.5,level=0.6250{more}");
+        self.send(&[b"ASK", tag.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
+    }
+
+    pub fn answer(&mut self) -> Answer {
+        let words = self.line()[1..].parse().expect("a number of words");
+        let mut words: Vec<Vec<u8>> = (0..words).map(|_| self.bulk()).collect();
+        words.resize(4, Vec::new());
+        let text = |word: &[u8]| String::from_utf8(word.to_vec()).expect("text");
+        Answer { tag: text(&words[0]), word: text(&words[1]), fields: text(&words[2]), body: words.remove(3) }
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line");
+        assert!(line.ends_with("\r\n"), "the connection ended: {line:?}");
+        line.trim_end().to_owned()
+    }
+
+    fn bulk(&mut self) -> Vec<u8> {
+        let mut word = vec![0; self.line()[1..].parse::<usize>().expect("a length") + 2];
+        self.reader.read_exact(&mut word).expect("a word");
+        word.truncate(word.len() - 2);
+        word
+    }
+
+    /// Whether the node ends the connection.
+    pub fn is_closed(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0]), Ok(0) | Err(_))
+    }
+}
