--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -309,9 +309,8 @@
             return false;
         }
         self.seq = seq;
-        if self.barrier.is_some() {
-            self.unproved.retain(|command| run_of(command) != Some(id));
-        }
+        // Guards against a run that has ended being begun again on the next link.
+        self.unproved.retain(|command| run_of(command) != Some(id));
         true
     }
 
--- a/src/back/records.rs
+++ b/src/back/records.rs
@@ -161,7 +161,11 @@
             self.idle.borrow_mut().push(hand_over);
             call = tokio::select! {
                 biased;
-                Ok(next) = handed => next,
+                Ok(next) = handed => match stream.try_read(&mut [0]) {
+                    Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => next,
+                    // It has ended meanwhile: nothing was sent on it, so the call may go elsewhere.
+                    _ => return self.place(next),
+                },
                 // Anything that can be read between calls, an end most of all, makes it of no use.
                 _ = stream.readable() => return,
                 () = sleep(IDLE) => return,
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,179 @@
+//! The platform's protocol and the links behind it: what breaks, comes late or is not well formed.
+
+mod support;
+
+use rstest::rstest;
+use serde_json::json;
+use support::resp::{FrontEnd, array};
+use support::{Node, next_call, settings, try_id, unix_ms};
+
+fn started() -> (Node, FrontEnd) {
+    let node = Node::start();
+    let front = FrontEnd::connect(&node.resp);
+    (node, front)
+}
+
+/// Asks for a run that is begun; returns its name.
+fn run(node: &mut Node, front: &mut FrontEnd, tag: u64, class: &str, more: &str) -> String {
+    let req = try_id(tag);
+    front.ask(tag, class, &req, more, b"body");
+    assert_eq!(node.processor.begun(), req);
+    req
+}
+
+#[rstest]
+fn a_health_check_is_answered_and_every_answer_carries_the_free_value() {
+    let (mut node, mut front) = started();
+    front.send(&[b"STATUS", b"1", b""]);
+    assert_eq!(front.answer().word, "healthy");
+    // The free value is told from the first period of the module on.
+    while !front.answer_to_status().fields.contains("signal=") {}
+    let req = run(&mut node, &mut front, 2, "plate-check", "");
+    node.processor.complete(&req, b"result");
+    let answer = front.answer();
+    assert_eq!((answer.tag.as_str(), answer.word.as_str()), ("2", "done"));
+    assert!(answer.fields.starts_with("signal="), "{}", answer.fields);
+    assert_eq!(answer.body, b"result");
+}
+
+#[rstest]
+fn nothing_is_reported_ready_before_a_late_processor_is_up() {
+    let mut node = Node::launch(settings());
+    let mut front = FrontEnd::connect(&node.resp);
+    assert_eq!(front.answer_to_status().word, "sick");
+    node.processor.greet("cold");
+    node.reported("Ready");
+    assert_eq!(front.answer_to_status().word, "healthy");
+}
+
+#[rstest]
+fn a_silent_processor_keeps_no_answer_from_its_due_time() {
+    let (mut node, mut front) = started();
+    run(&mut node, &mut front, 1, "plate-check", "");
+    node.processor.break_link();
+    let asked = unix_ms();
+    front.ask(2, "pay-session", &try_id(2), ",opkey=k", b"");
+    let words = [front.answer(), front.answer()].map(|answer| (answer.tag, answer.word));
+    assert!(words.contains(&("1".into(), "error".into())), "{words:?}");
+    assert!(words.iter().all(|(_, word)| word != "done") && unix_ms() < asked + 1500 + 80 + 50);
+}
+
+#[rstest]
+fn a_link_that_breaks_is_resumed_and_nothing_is_run_twice() {
+    let (mut node, mut front) = started();
+    let done = run(&mut node, &mut front, 1, "pay-session", ",opkey=a");
+    let paused = run(&mut node, &mut front, 2, "pay-session", ",opkey=b");
+    node.processor.complete(&done, b"one");
+    assert_eq!(front.answer().body, b"one");
+    node.processor.break_link();
+    // Said and asked while there is no link: both follow on the next one.
+    node.processor.ask(&paused, b"call");
+    front.ask(4, "plate-check", &try_id(4), "", b"body");
+    assert_eq!(node.processor.greet("warm"), 1, "the number of the last notice read");
+    assert_eq!(node.processor.begun(), try_id(4));
+    node.processor.complete(&try_id(4), b"four");
+    assert_eq!(front.answer().body, b"four");
+    node.records.call().reply("200 OK", "", b"reply");
+    assert_eq!(node.processor.command("answer")["id"], json!(paused));
+    node.processor.complete(&paused, b"two");
+    assert_eq!(front.answer().body, b"two");
+    node.processor.say(json!({"op": "complete", "seq": 1, "id": done, "end": "ok", "ms": 1.0, "body": ""}));
+    front.ask(3, "pay-session", &try_id(3), ",opkey=a", b"body");
+    assert_eq!(front.answer().body, b"one", "a notice that is said again changes nothing");
+    assert_eq!(node.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn a_request_that_is_given_up_gets_its_answer_nowhere_and_its_call_is_closed() {
+    let (mut node, mut front) = started();
+    let req = run(&mut node, &mut front, 1, "history", "");
+    node.processor.ask(&req, b"call");
+    let mut call = node.records.call();
+    front.send(&[b"NEVERMIND", b"1"]);
+    assert!(call.given_up());
+    node.processor.end(&req, "halted");
+    let req = run(&mut node, &mut front, 2, "plate-check", "");
+    node.processor.complete(&req, b"");
+    assert_eq!(front.answer().tag, "2");
+}
+
+#[rstest]
+#[case::turned_away("503 Service Unavailable", "Op-Not-Begun: 1\r\n", true)]
+#[case::never_awaited("409 Conflict", "Op-Not-Begun: 1\r\n", true)]
+#[case::failed("500 Internal Server Error", "", false)]
+#[case::timed_out("504 Gateway Timeout", "", false)]
+#[case::broken("", "", false)]
+fn a_call_with_effects_is_made_again_only_if_it_never_began(
+    #[case] status: &str,
+    #[case] headers: &str,
+    #[case] again: bool,
+) {
+    let (mut node, mut front) = started();
+    let req = run(&mut node, &mut front, 1, "pay-session", ",opkey=k");
+    node.processor.ask(&req, b"call");
+    let call = node.records.call();
+    assert!(call.head.contains("Op-Wait-Ms: "));
+    let next = match status {
+        "" => {
+            call.cut();
+            None
+        }
+        _ => Some(call.reply(status, headers, b"")),
+    };
+    if again {
+        next_call(next.expect("a connection")).reply("200 OK", "", b"reply");
+        node.processor.command("answer");
+        node.processor.complete(&req, b"paid");
+        assert_eq!(front.answer().word, "done");
+    } else {
+        assert_eq!(front.answer().word, "error");
+        front.ask(2, "pay-session", &try_id(2), ",opkey=k", b"body");
+        node.processor.end(&req, "halted");
+        assert_eq!(front.answer().word, "error", "no refusal after a run");
+        assert_eq!(node.processor.count("begin"), 0);
+    }
+}
+
+#[rstest]
+fn an_idle_connection_that_ended_is_not_used_again() {
+    let (mut node, mut front) = started();
+    for tag in 1..=2 {
+        let req = run(&mut node, &mut front, tag, "pay-session", &format!(",opkey={tag}"));
+        node.processor.ask(&req, b"call");
+        // Each call comes on a connection of its own, as the one before has been closed behind its reply.
+        drop(node.records.call().reply("200 OK", "", b""));
+        node.processor.command("answer");
+        node.processor.complete(&req, b"paid");
+        assert_eq!(front.answer().word, "done");
+    }
+}
+
+#[rstest]
+fn a_run_that_was_void_leaves_its_key_free() {
+    let (mut node, mut front) = started();
+    let req = run(&mut node, &mut front, 1, "pay-session", ",opkey=k");
+    front.send(&[b"NEVERMIND", b"1"]);
+    node.processor.end(&req, "void");
+    front.answer_to_status();
+    let req = run(&mut node, &mut front, 2, "pay-session", ",opkey=k");
+    node.processor.complete(&req, b"paid");
+    assert_eq!(front.answer().body, b"paid");
+}
+
+#[rstest]
+#[case::not_resp(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
+#[case::too_many_words(b"*99\r\n".to_vec())]
+#[case::too_long(b"*2\r\n$99999\r\n".to_vec())]
+#[case::unknown_verb(array(&[b"FROB", b"1"]))]
+#[case::no_tag(array(&[b"STATUS", b"x"]))]
+fn bad_input_closes_its_connection_alone(#[case] bytes: Vec<u8>) {
+    let (mut node, mut front) = started();
+    let mut bad = FrontEnd::connect(&node.resp);
+    use std::io::Write;
+    bad.stream.write_all(&bytes).expect("a write");
+    node.logged("a front end's connection is closed");
+    assert!(bad.is_closed());
+    front.send(&[b"ASK", b"1", b"nothing", b"req=00000000000000aa", b""]);
+    assert_eq!(front.answer().word, "error", "a class that is not known fails the request alone");
+    assert_eq!(front.answer_to_status().word, "healthy");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -79,6 +79,11 @@
 
     /// Starts a node whose processor has said nothing yet.
     pub fn launch(settings: Value) -> Self {
+        Self::launch_with(settings, "")
+    }
+
+    /// The same, with more in the operator's table for AJP.
+    pub fn launch_with(settings: Value, more: &str) -> Self {
         let processor = Processor::listen();
         let records = Records::listen();
         let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -90,7 +95,8 @@
             "records": format!("127.0.0.1:{}", records.port),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings});
         std::fs::write(dir.join("config.json"), config.to_string()).expect("a file");
-        std::fs::write(dir.join("operator.toml"), "[ajp]\nlisten = \"127.0.0.1:0\"\n").expect("a file");
+        let operator = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
+        std::fs::write(dir.join("operator.toml"), operator).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_sillflow"))
             .env("PROXY_CONFIG", dir.join("config.json"))
             .env("SILLFLOW_OPERATOR", dir.join("operator.toml"))
@@ -179,6 +185,7 @@
     put: Sender<Value>,
     early: VecDeque<Value>,
     seq: Arc<AtomicU64>,
+    said: Vec<Value>,
     automatic: Arc<AtomicBool>,
 }
 
@@ -188,7 +195,7 @@
         let (put, commands) = channel();
         let link = Arc::new(Mutex::new(None));
         let (seq, automatic) = (Arc::default(), Arc::default());
-        Self { port, links, link, commands, put, early: VecDeque::new(), seq, automatic }
+        Self { port, links, link, commands, put, early: VecDeque::new(), seq, said: Vec::new(), automatic }
     }
 
     /// Takes the next link, says hi on it, and returns the number that the node resumes after.
@@ -203,6 +210,8 @@
         let hello: Value = serde_json::from_str(&hello).expect("hello is JSON");
         assert_eq!(hello["op"], "hello");
         self.say(json!({"op": "hi", "end": state, "ms": 5.0}));
+        let missed = self.said.iter().filter(|notice| notice["seq"].as_u64() > hello["seq"].as_u64());
+        missed.for_each(|notice| self.say(notice.clone()));
         std::thread::spawn(move || {
             for line in reader.lines().map_while(Result::ok) {
                 let command: Value = serde_json::from_str(&line).expect("a command is JSON");
@@ -239,6 +248,7 @@
         let seq = self.seq.fetch_add(1, SeqCst) + 1;
         let mut notice = json!({"op": op, "seq": seq, "id": id});
         notice.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
+        self.said.push(notice.clone());
         self.say(notice);
     }
 
--- a/tests/support/resp.rs
+++ b/tests/support/resp.rs
@@ -77,3 +77,11 @@
         matches!(self.reader.read(&mut [0]), Ok(0) | Err(_))
     }
 }
+
+impl FrontEnd {
+    /// Asks for the node's health. No other answer may be due.
+    pub fn answer_to_status(&mut self) -> Answer {
+        self.send(&[b"STATUS", b"999", b""]);
+        self.answer()
+    }
+}
