Add the replicated store and the importer of HAProxy's configuration

The store is a versioned map on openraft 0.9 with redb underneath, on a thread of its own; without the operator's table it is one member in memory with no socket. It keeps each node's configuration and the operator's wish for maintenance.

Checked with real processes: a change on one member read on another, one member lost and back, all lost and back, a wrong version refused, maintenance on and off, the secret not in the kept configuration. The importer names every line that is malformed or not mapped and prints nothing then.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-pub use operator::{Ajp, Operator};
+pub use operator::{Ajp, Operator, Peer, StoreOptions};
 pub use settings::{Pairs, Site, gauges, parse};
 
 /// Why a node cannot start.
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,35 +1,86 @@
 //! The operator's file: what the platform does not set. Without it the node serves the platform alone.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::ConfigError;
 
 /// The file, in TOML.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// The AJP front; absent where it is off.
     pub ajp: Option<Ajp>,
+    /// The node's store; absent where it has one member, in memory.
+    #[serde(default)]
+    pub store: StoreOptions,
+}
+
+/// This node's member of the store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreOptions {
+    /// The number of this member.
+    pub id: u64,
+    /// Where other members and programs beside the node connect; without it there is no socket.
+    pub listen: Option<SocketAddr>,
+    /// Where it is kept over a restart; without it, it is kept in memory.
+    pub directory: Option<PathBuf>,
+    /// The other members.
+    pub peers: Vec<Peer>,
+}
+
+/// Another member of the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its number.
+    pub id: u64,
+    /// Where it listens for the store.
+    pub address: SocketAddr,
+}
+
+impl StoreOptions {
+    /// A member that forgot its vote could vote twice, so those with peers need a directory.
+    fn check(&self) -> Result<(), ConfigError> {
+        let problem = match self {
+            Self { peers, .. } if peers.is_empty() => return Ok(()),
+            Self { directory: None, .. } => "a store with peers needs a directory",
+            Self { listen: None, .. } => "a store with peers needs an address to listen on",
+            Self { id, peers, .. } if peers.iter().any(|peer| peer.id == *id) => {
+                "a peer has this member's id"
+            }
+            _ => return Ok(()),
+        };
+        Err(ConfigError::Value(problem.to_owned()))
+    }
 }
 
 /// The AJP front.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Ajp {
     /// Where web servers connect.
     pub listen: SocketAddr,
-    /// The secret that requests must carry.
+    /// The secret that requests must carry. It is never written anywhere.
+    #[serde(default, skip_serializing)]
     pub secret: Option<String>,
     /// The path of health checks.
-    #[serde(default = "health_path")]
+    #[serde(default = "Ajp::health_path")]
     pub health: String,
+    /// Connections at once; without it, half of what the descriptors allow.
+    pub connections: Option<usize>,
+    /// A body that stands still for this long ends its connection, in ms; without it, 10 s.
+    pub body_wait_ms: Option<u64>,
 }
 
-fn health_path() -> String {
-    "/health".to_owned()
+impl Ajp {
+    /// The path where none is set.
+    pub fn health_path() -> String {
+        "/health".to_owned()
+    }
 }
 
 impl Operator {
@@ -48,6 +99,8 @@
         let name = path.display().to_string();
         let text =
             std::fs::read_to_string(path).map_err(|cause| ConfigError::File { path: name.clone(), cause })?;
-        toml::from_str(&text).map_err(|cause| ConfigError::Toml { path: name, cause })
+        let file: Self = toml::from_str(&text).map_err(|cause| ConfigError::Toml { path: name, cause })?;
+        file.store.check()?;
+        Ok(file)
     }
 }
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -117,6 +117,9 @@
     tags: u64,
     serials: u64,
     up: bool,
+    /// What the decision module says of its health, and what the operator wishes.
+    wants_traffic: bool,
+    maintenance: bool,
 }
 
 impl Exchange {
@@ -144,6 +147,8 @@
             tags: 0,
             serials: 0,
             up: false,
+            wants_traffic: false,
+            maintenance: false,
         })
     }
 
@@ -202,6 +207,10 @@
                     self.events.push(Event::Timer(gauges(&self.site.gauges, &values)));
                 }
             }
+            Input::Maintenance(wished) => {
+                self.maintenance = wished;
+                self.posture.healthy = self.wants_traffic && !wished;
+            }
             Input::Drain { stop_in_ms } => {
                 info!("draining: {} requests open, {stop_in_ms} ms to the stop", self.entries.len());
                 let stop_at = self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0);
@@ -434,7 +443,10 @@
             Action::Keep { id, .. } => self.keep(id),
             // A held try leaves the table with its entry; one that ran must stay there.
             Action::Forget(_) => {}
-            Action::Health { good } => self.posture.healthy = good,
+            Action::Health { good } => {
+                self.wants_traffic = good;
+                self.posture.healthy = good && !self.maintenance;
+            }
             Action::Say(value) if self.site.settings.say != SayKind::Off => self.posture.level = Some(value),
             Action::Say(_) => {}
             Action::CloseIdle { after_ms } => self.posture.idle_ms = Some(after_ms),
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -170,6 +170,8 @@
         /// The values, in the order of the settings.
         values: Vec<f32>,
     },
+    /// Whether the operator wants no traffic sent here.
+    Maintenance(bool),
     /// The notice to leave: the process is stopped after this many ms.
     Drain {
         /// Time until the stop, in ms.
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -28,7 +28,7 @@
 const CHUNK_BYTES: usize = 8184;
 /// The longest body that is taken.
 const BODY_BYTES: usize = 64 * 1024;
-/// A web server that stops in the middle of a body is given up after this.
+/// A web server that stops in the middle of a body is given up after this, where the operator sets no other time.
 const BODY_WAIT: Duration = Duration::from_secs(10);
 
 /// What every connection of this front shares.
@@ -381,7 +381,8 @@
         reuse = false;
         Response::new(413)
     } else {
-        let body = timeout(BODY_WAIT, link.body(length)).await.map_err(|_| Bad::Stalled)??;
+        let wait = front.options.body_wait_ms.map_or(BODY_WAIT, Duration::from_millis);
+        let body = timeout(wait, link.body(length)).await.map_err(|_| Bad::Stalled)??;
         if forward.path() == front.options.health && !front.options.health.is_empty() {
             health(front)
         } else {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,26 +1,113 @@
-//! The node as a program.
+//! The program: a node, and the commands of its operator.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::{Parser, Subcommand};
 use log::error;
 use sillflow::config::Config;
-use sillflow::node;
+use sillflow::store::{Answer, Change, Query};
+use sillflow::{haproxy, node, store};
 use tokio::task::LocalSet;
 
+/// A service node with an overload controller inside. Without a command it runs the node that its environment
+/// describes.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Prints the operator's file that HAProxy's configuration comes to, or each line that cannot be imported.
+    Import {
+        /// HAProxy's configuration.
+        file: PathBuf,
+    },
+    /// Prints all keys of the store that begin so, with versions and values.
+    Get {
+        /// What they begin with.
+        #[arg(default_value = "")]
+        prefix: String,
+        /// Where a member of the store listens.
+        #[arg(long)]
+        at: String,
+    },
+    /// Sets a key of the store.
+    Set {
+        /// The key.
+        key: String,
+        /// Its value; without one the key is taken out.
+        value: Option<String>,
+        /// Only where the key is at this version, 0 for one that is not there.
+        #[arg(long)]
+        expect: Option<u64>,
+        /// Where a member of the store listens.
+        #[arg(long)]
+        at: String,
+    },
+}
+
+type Failure = Box<dyn std::error::Error>;
+
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match serve() {
+    let done = match Arguments::parse().command {
+        None => serve(),
+        Some(Command::Import { file }) => import(&file),
+        Some(Command::Get { prefix, at }) => ask(&at, Query::Read(prefix)),
+        Some(Command::Set { key, value, expect, at }) => {
+            ask(&at, Query::Change(Change { key, value, expect }))
+        }
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            error!("sillflow cannot run: {problem}");
+            error!("sillflow cannot go on: {problem}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn serve() -> Result<(), Box<dyn std::error::Error>> {
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+fn serve() -> Result<(), Failure> {
     let config = Config::from_env()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(node::run(config)))?;
+    runtime()?.block_on(LocalSet::new().run_until(node::run(config)))?;
     Ok(())
 }
+
+fn import(file: &PathBuf) -> Result<(), Failure> {
+    let text = std::fs::read_to_string(file)?;
+    match haproxy::import(&text) {
+        Ok(operator) => {
+            print!("{}", haproxy::to_toml(&operator)?);
+            Ok(())
+        }
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{}: {fault}", file.display()));
+            Err(format!("{} lines cannot be imported", faults.len()).into())
+        }
+    }
+}
+
+fn ask(at: &str, query: Query) -> Result<(), Failure> {
+    match runtime()?.block_on(store::ask(at, query))? {
+        Answer::Contents(found) => {
+            found.iter().for_each(|(key, now)| println!("{key}\t{}\t{}", now.version, now.value));
+            Ok(())
+        }
+        Answer::Changed(outcome) if outcome.changed => {
+            println!("{}", outcome.version);
+            Ok(())
+        }
+        Answer::Changed(outcome) => {
+            Err(format!("not changed: the key is at version {}", outcome.version).into())
+        }
+        Answer::Failed(problem) => Err(problem.into()),
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -17,6 +18,7 @@
 use crate::exchange::{self, Handle, Input};
 use crate::front::{self, Shared, ajp, resp};
 use crate::interface::SettingsError;
+use crate::store::{self, Contents};
 
 /// How long before its stop a node gives connections back and stops listening.
 const GIVE_BACK: Duration = Duration::from_millis(900);
@@ -29,6 +31,9 @@
     /// A socket or signal cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The configuration cannot be kept.
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
     /// The settings make no sense.
     #[error("{0}")]
     Settings(#[from] SettingsError),
@@ -51,6 +56,9 @@
         spawn_local(records::Records::new(address, handle.clone()).serve(servers.calls));
     }
     spawn_local(control::report(config.name.clone(), config.listen, config.control, handle.clone()));
+    let configuration = serde_json::to_string(&config.operator)?;
+    let contents = store::start(&config.name, config.operator.store.clone(), configuration)?;
+    spawn_local(follow_operator(format!("state/{}/maintenance", config.name), contents, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(&config.site, handle.clone(), closing.clone());
     let fronts = fronts(&config, listener, shared).await?;
@@ -59,6 +67,23 @@
     Ok(())
 }
 
+/// Carries the operator's wish from the store to the exchange: a node in maintenance serves, yet asks for no
+/// traffic.
+async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, exchange: Handle) {
+    let mut known = false;
+    loop {
+        let wished = contents.borrow_and_update().get(&key) == Some("on");
+        if wished != known {
+            info!("maintenance {}", if wished { "on" } else { "off" });
+            exchange.tell(Input::Maintenance(wished)).await;
+            known = wished;
+        }
+        if contents.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Starts the platform's front and, where the operator has set it up, the one for AJP.
 async fn fronts(config: &Config, listener: TcpListener, shared: Rc<Shared>) -> io::Result<JoinSet<()>> {
     let mut fronts = JoinSet::new();
@@ -67,9 +92,10 @@
     if let Some(options) = config.operator.ajp.clone() {
         let listener = TcpListener::bind(options.listen).await?;
         info!("{} listens for AJP on {}", config.name, listener.local_addr()?);
+        let connections = options.connections.map_or(most / 2, |set| set.min(most / 2));
         let front = Rc::new(ajp::Front { shared: shared.clone(), options });
         let connection = move |stream| ajp::connection(stream, front.clone());
-        fronts.spawn_local(front::serve(listener, most / 2, closing.clone(), connection));
+        fronts.spawn_local(front::serve(listener, connections, closing.clone(), connection));
     }
     let most = if config.operator.ajp.is_some() { most / 2 } else { most };
     let connection = move |stream| resp::connection(stream, shared.clone());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -42,6 +42,13 @@
     })
 }
 
+/// A node's configuration, with nobody at its addresses yet.
+pub fn config(settings: Value) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1500,
+        "processor": "127.0.0.1:1", "control": "127.0.0.1:1", "settings": settings,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}})
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis() as u64
 }
@@ -82,7 +89,7 @@
         Self::launch_with(settings, "")
     }
 
-    /// The same, with more in the operator's table for AJP.
+    /// The same, with more behind the address in the operator's table for AJP.
     pub fn launch_with(settings: Value, more: &str) -> Self {
         let processor = Processor::listen();
         let records = Records::listen();
@@ -90,10 +97,10 @@
         control.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let dir = std::env::temp_dir().join(format!("sillflow-{}-{}", std::process::id(), processor.port));
         std::fs::create_dir_all(&dir).expect("a folder");
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1500,
-            "processor": format!("127.0.0.1:{}", processor.port), "control": address(&control),
-            "records": format!("127.0.0.1:{}", records.port),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings});
+        let mut config = config(settings);
+        config["processor"] = format!("127.0.0.1:{}", processor.port).into();
+        config["records"] = format!("127.0.0.1:{}", records.port).into();
+        config["control"] = address(&control).into();
         std::fs::write(dir.join("config.json"), config.to_string()).expect("a file");
         let operator = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
         std::fs::write(dir.join("operator.toml"), operator).expect("a file");
@@ -135,6 +142,12 @@
         }
     }
 
+    /// Ends the node with no notice.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a child");
+        self.child.wait().expect("a child");
+    }
+
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
@@ -377,3 +390,11 @@
 pub fn next_call(stream: TcpStream) -> Called {
     read_call(stream)
 }
+
+/// Runs a command of the operator's; what it prints, and whether it went well.
+pub fn operate(arguments: &[&str]) -> (bool, String, String) {
+    let run =
+        Command::new(env!("CARGO_BIN_EXE_sillflow")).args(arguments).output().expect("the program runs");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (run.status.success(), text(run.stdout), text(run.stderr))
+}
