--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --all-targets --locked -- -D warnings
+
+# PROXY_CONFIG names the platform's file; SILLFLOW_OPERATOR, if set, the operator's.
+run: build
+	target/release/sillflow
--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -25,14 +25,14 @@
 #[derive(Debug, Error)]
 pub(super) enum DiskError {
     #[error("{0}")]
-    Database(#[from] redb::Error),
+    Database(Box<redb::Error>),
     #[error("{0}")]
     Form(#[from] serde_json::Error),
 }
 
 /// Turns the database's many errors into one.
 fn db<T, E: Into<redb::Error>>(result: Result<T, E>) -> Result<T, DiskError> {
-    result.map_err(|e| DiskError::Database(e.into()))
+    result.map_err(|e| DiskError::Database(Box::new(e.into())))
 }
 
 /// What a member keeps beside its map.
@@ -41,18 +41,18 @@
 
 impl Disk {
     /// Opens the file in a directory that is made where it is missing; without one all is kept in memory.
-    pub fn open(directory: Option<&Path>) -> Result<Self, redb::Error> {
+    pub fn open(directory: Option<&Path>) -> Result<Self, DiskError> {
         let database = match directory {
             Some(directory) => {
-                std::fs::create_dir_all(directory).map_err(redb::Error::Io)?;
-                Database::create(directory.join(FILE))?
+                db(std::fs::create_dir_all(directory).map_err(redb::Error::Io))?;
+                db(Database::create(directory.join(FILE)))?
             }
-            None => Database::builder().create_with_backend(InMemoryBackend::new())?,
+            None => db(Database::builder().create_with_backend(InMemoryBackend::new()))?,
         };
-        let write = database.begin_write()?;
-        write.open_table(LOG)?;
-        write.open_table(META)?;
-        write.commit()?;
+        let write = db(database.begin_write())?;
+        db(write.open_table(LOG))?;
+        db(write.open_table(META))?;
+        db(write.commit())?;
         Ok(Self(Arc::new(database)))
     }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -88,7 +88,7 @@
 pub enum StoreError {
     /// Its directory cannot be used.
     #[error("the store's directory: {0}")]
-    Disk(#[from] redb::Error),
+    Disk(String),
     /// Its socket cannot be had.
     #[error("the store's socket: {0}")]
     Io(#[from] std::io::Error),
@@ -160,7 +160,7 @@
         ..openraft::Config::default()
     };
     let config = Arc::new(config.validate().map_err(|e| raft_error(&e))?);
-    let disk = Disk::open(options.directory.as_deref())?;
+    let disk = Disk::open(options.directory.as_deref()).map_err(|e| StoreError::Disk(e.to_string()))?;
     let contents = shown.subscribe();
     let machine = StateMachine::new(disk.clone(), shown);
     let raft =
