Ask for gauges one question at a time, so that none pile up while the link is down

Read in src/exchange/core.rs (measure): every wake-up sent a question whether or not the last was answered, and the processor's queue kept them all while there was no link.

Also: replies of the tier below may be chunked or end with the connection; a draining node answers on until it is stopped, at most a second past its time; SIGINT drains too; debug lines no longer print bodies.

--- a/src/back/records.rs
+++ b/src/back/records.rs
@@ -18,7 +18,7 @@
 use winnow::ascii::{crlf, dec_uint, space0};
 use winnow::combinator::{delimited, preceded, repeat, separated_pair, terminated};
 use winnow::error::{ContextError, ErrMode};
-use winnow::token::{take_till, take_while};
+use winnow::token::{take, take_till, take_while};
 use winnow::{ModalResult, Parser, Partial};
 
 use crate::exchange::{Call, Handle, Input};
@@ -45,11 +45,21 @@
     Long,
 }
 
+/// How the end of a body is told.
+#[derive(Debug, Default, PartialEq)]
+enum Length {
+    Known(usize),
+    Chunked,
+    /// By the end of the connection.
+    #[default]
+    ToEnd,
+}
+
 /// The head of a reply.
 #[derive(Debug, Default, PartialEq)]
 struct Head {
     status: u16,
-    length: usize,
+    length: Length,
     not_begun: bool,
     close: bool,
 }
@@ -72,12 +82,17 @@
     let headers: Vec<(&[u8], &[u8])> = repeat(0.., header).parse_next(input)?;
     crlf.parse_next(input)?;
     let mut head = Head { status, ..Head::default() };
+    if matches!(status, 204 | 304) {
+        head.length = Length::Known(0);
+    }
     for (name, value) in headers {
         let value = std::str::from_utf8(value).unwrap_or_default().trim();
         if name.eq_ignore_ascii_case(b"content-length") {
-            head.length = value.parse().map_err(|_| ErrMode::Cut(ContextError::new()))?;
+            if head.length != Length::Chunked {
+                head.length = Length::Known(value.parse().map_err(|_| ErrMode::Cut(ContextError::new()))?);
+            }
         } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            return Err(ErrMode::Cut(ContextError::new()));
+            head.length = Length::Chunked;
         } else if name.eq_ignore_ascii_case(b"op-not-begun") {
             head.not_begun = value == "1";
         } else if name.eq_ignore_ascii_case(b"connection") {
@@ -87,6 +102,22 @@
     Ok(head)
 }
 
+/// One chunk of a body, the last one empty and with its trailers.
+fn chunk<'a>(input: &mut Partial<&'a [u8]>) -> ModalResult<&'a [u8]> {
+    let digits = take_while(1..=6, |c: u8| c.is_ascii_hexdigit());
+    let extension = take_till(0.., |c| c == b'\r' || c == b'\n');
+    let digits = terminated(digits, (extension, crlf)).parse_next(input)?;
+    let size = std::str::from_utf8(digits).ok().and_then(|digits| usize::from_str_radix(digits, 16).ok());
+    match size {
+        Some(0) => {
+            let _trailers: Vec<(&[u8], &[u8])> = repeat(0.., header).parse_next(input)?;
+            crlf.value(&[][..]).parse_next(input)
+        }
+        Some(size) if size <= BODY_BYTES => terminated(take(size), crlf).parse_next(input),
+        _ => Err(ErrMode::Cut(ContextError::new())),
+    }
+}
+
 /// What a call came to: a status, or proof that it never began, or neither.
 fn outcome(head: &Head) -> Outcome {
     match head.status {
@@ -183,7 +214,10 @@
             _ = &mut call.given_up => return false,
         };
         let (outcome, reply, again) = match made {
-            Ok(Ok(response)) => (outcome(&response.head), response.body, !response.head.close),
+            Ok(Ok(response)) => {
+                let again = !response.head.close && response.head.length != Length::ToEnd;
+                (outcome(&response.head), response.body, again)
+            }
             Ok(Err(problem)) => {
                 debug!("a call broke off: {problem}");
                 (Outcome::Reset, Bytes::new(), false)
@@ -224,14 +258,47 @@
             Err(_) => return Err(Bad::Head),
         }
     };
-    if head.length > BODY_BYTES {
-        return Err(Bad::Long);
+    drop(buffer.split_to(start));
+    let body = read_body(stream, &mut buffer, &head.length).await?;
+    Ok(Response { head, body })
+}
+
+async fn read_body(stream: &mut TcpStream, buffer: &mut BytesMut, length: &Length) -> Result<Bytes, Bad> {
+    let mut body = BytesMut::new();
+    loop {
+        match length {
+            Length::Known(length) if *length > BODY_BYTES => return Err(Bad::Long),
+            Length::Known(length) if buffer.len() >= *length => return Ok(buffer.split_to(*length).freeze()),
+            Length::Chunked if chunks(buffer, &mut body)? => return Ok(body.freeze()),
+            _ => {}
+        }
+        if buffer.len() + body.len() > BODY_BYTES + HEAD_BYTES {
+            return Err(Bad::Long);
+        }
+        match more(stream, buffer).await {
+            Err(Bad::Closed) if *length == Length::ToEnd => return Ok(buffer.split().freeze()),
+            read => read?,
+        }
     }
-    while buffer.len() < start + head.length {
-        more(stream, &mut buffer).await?;
+}
+
+/// Takes whole chunks off the buffer; true behind the last one and its trailers.
+fn chunks(buffer: &mut BytesMut, body: &mut BytesMut) -> Result<bool, Bad> {
+    loop {
+        let mut input = Partial::new(&buffer[..]);
+        let (last, length) = match chunk(&mut input) {
+            Ok(data) => {
+                body.extend_from_slice(data);
+                (data.is_empty(), buffer.len() - input.len())
+            }
+            Err(ErrMode::Incomplete(_)) => return Ok(false),
+            Err(_) => return Err(Bad::Head),
+        };
+        drop(buffer.split_to(length));
+        if last {
+            return Ok(true);
+        }
     }
-    let body = buffer.split_off(start).split_to(head.length).freeze();
-    Ok(Response { head, body })
 }
 
 async fn more(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), Bad> {
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -113,7 +113,8 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     posture: Posture,
-    asked: Option<(u64, delay_queue::Key)>,
+    /// The question for gauges that is out, with its wait until that is over.
+    asked: Option<(u64, Option<delay_queue::Key>)>,
     tags: u64,
     serials: u64,
     up: bool,
@@ -202,7 +203,7 @@
                 self.call_ended(id, serial, outcome, took_ms, reply);
             }
             Input::Gauges { tag, values } => {
-                if let Some((_, late)) = self.asked.take_if(|(asked, _)| *asked == tag) {
+                if let Some((_, Some(late))) = self.asked.take_if(|(asked, _)| *asked == tag) {
                     self.waits.try_remove(&late);
                     self.events.push(Event::Timer(gauges(&self.site.gauges, &values)));
                 }
@@ -318,7 +319,7 @@
     fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
         let Some(entry) = self.entries.get_mut(&id) else { return false };
         let Some(reply) = entry.reply.take() else { return false };
-        debug!("{} {answer:?}", entry.of);
+        debug!("{} {}", entry.of, answer.kind());
         reply.send(answer, self.posture.level);
         if let Some(due) = entry.due.take() {
             self.waits.try_remove(&due);
@@ -399,7 +400,8 @@
         match wait {
             Wait::Wake => self.measure(),
             Wait::Gauges(tag) => {
-                if self.asked.take_if(|(asked, _)| *asked == tag).is_some() {
+                if let Some((_, late)) = self.asked.as_mut().filter(|(asked, _)| *asked == tag) {
+                    *late = None;
                     self.events.push(Event::Timer(Gauges::default()));
                 }
             }
@@ -422,10 +424,15 @@
         self.settled(id);
     }
 
+    /// Asks for the gauges, one question at a time: guards against a queue of them that grows for as long as
+    /// the processor is silent. The decision module is woken without them meanwhile.
     fn measure(&mut self) {
+        if self.asked.is_some() {
+            return self.events.push(Event::Timer(Gauges::default()));
+        }
         self.tags += 1;
         let late = self.waits.insert(Wait::Gauges(self.tags), Duration::from_millis(GAUGES_MS));
-        self.asked = Some((self.tags, late));
+        self.asked = Some((self.tags, Some(late)));
         let _ = self.out.to_processor.send(Command::Measure { tag: self.tags });
     }
 
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -85,6 +85,17 @@
     Failed,
 }
 
+impl Answer {
+    /// Its kind in a word, without what it holds.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Refused { .. } => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// An answer on its way to the client that is owed it.
 #[derive(Debug)]
 pub struct Reply {
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,8 +22,9 @@
 
 /// How long before its stop a node gives connections back and stops listening.
 const GIVE_BACK: Duration = Duration::from_millis(900);
-/// How long before its stop a node whose connections are not given back ends by itself.
-const LAST: Duration = Duration::from_millis(20);
+/// How long after its stop a node that was not stopped and whose connections are not given back ends by itself.
+/// Until then it answers what may still be written to it.
+const LAST: Duration = Duration::from_secs(1);
 
 /// Why a node cannot run.
 #[derive(Debug, Error)]
@@ -45,6 +46,7 @@
 /// It cannot listen, or its settings are not accepted.
 pub async fn run(config: Config) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let listener = TcpListener::bind(config.listen).await?;
     info!("{} listens on {}", config.name, listener.local_addr()?);
     let (exchange, handle, servers) = exchange::new(config.seed, &config.site)?;
@@ -62,7 +64,10 @@
     let closing = CancellationToken::new();
     let shared = Shared::new(&config.site, handle.clone(), closing.clone());
     let fronts = fronts(&config, listener, shared).await?;
-    terminate.recv().await;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
     drain(config.stop, handle, closing, fronts).await;
     Ok(())
 }
@@ -109,7 +114,7 @@
     exchange.tell(Input::Drain { stop_in_ms: stop.as_secs_f64() * 1000.0 }).await;
     tokio::time::sleep_until(told + stop.saturating_sub(GIVE_BACK)).await;
     closing.cancel();
-    let left = tokio::time::timeout_at(told + stop.saturating_sub(LAST), fronts.join_all()).await;
+    let left = tokio::time::timeout_at(told + stop + LAST, fronts.join_all()).await;
     info!(
         "stopped {}",
         if left.is_ok() { "with every connection given back" } else { "with connections open" }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::atomic::Ordering::SeqCst;
+
 use rstest::rstest;
 use serde_json::json;
 use support::resp::{FrontEnd, array};
@@ -56,6 +58,15 @@
     let words = [front.answer(), front.answer()].map(|answer| (answer.tag, answer.word));
     assert!(words.contains(&("1".into(), "error".into())), "{words:?}");
     assert!(words.iter().all(|(_, word)| word != "done") && unix_ms() < asked + 1500 + 80 + 50);
+    // What was asked of it meanwhile does not pile up: a question for gauges comes every 20 ms or so.
+    node.processor.questions.store(0, SeqCst);
+    node.processor.greet("warm");
+    for tag in 1..=2 {
+        assert_eq!(node.processor.begun(), try_id(tag), "a command that may have been lost is given again");
+        node.processor.end(&try_id(tag), "void");
+    }
+    run(&mut node, &mut front, 3, "plate-check", "");
+    assert!(node.processor.questions.load(SeqCst) < 20);
 }
 
 #[rstest]
@@ -134,6 +145,19 @@
     }
 }
 
+#[rstest]
+#[case::chunked(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nrep\r\n2\r\nly\r\n0\r\nT: 1\r\n\r\n"
+)]
+#[case::to_the_end("HTTP/1.1 200 OK\r\n\r\nreply")]
+fn a_reply_is_read_whole_however_its_end_is_told(#[case] raw: &str) {
+    let (mut node, mut front) = started();
+    let req = run(&mut node, &mut front, 1, "pay-session", ",opkey=k");
+    node.processor.ask(&req, b"call");
+    node.records.call().reply_raw(raw.as_bytes());
+    assert_eq!(node.processor.command("answer")["body"], "cmVwbHk=");
+}
+
 #[rstest]
 fn an_idle_connection_that_ended_is_not_used_again() {
     let (mut node, mut front) = started();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -200,6 +200,8 @@
     seq: Arc<AtomicU64>,
     said: Vec<Value>,
     automatic: Arc<AtomicBool>,
+    /// Questions for gauges that came.
+    pub questions: Arc<AtomicU64>,
 }
 
 impl Processor {
@@ -208,7 +210,18 @@
         let (put, commands) = channel();
         let link = Arc::new(Mutex::new(None));
         let (seq, automatic) = (Arc::default(), Arc::default());
-        Self { port, links, link, commands, put, early: VecDeque::new(), seq, said: Vec::new(), automatic }
+        Self {
+            port,
+            links,
+            link,
+            commands,
+            put,
+            early: VecDeque::new(),
+            seq,
+            said: Vec::new(),
+            automatic,
+            questions: Arc::default(),
+        }
     }
 
     /// Takes the next link, says hi on it, and returns the number that the node resumes after.
@@ -216,7 +229,7 @@
         let stream = self.links.recv_timeout(PATIENCE).expect("a link");
         *self.link.lock().expect("a lock") = Some(stream.try_clone().expect("a handle"));
         let (put, link) = (self.put.clone(), self.link.clone());
-        let (seq, automatic) = (self.seq.clone(), self.automatic.clone());
+        let (seq, automatic, questions) = (self.seq.clone(), self.automatic.clone(), self.questions.clone());
         let mut reader = BufReader::new(stream);
         let mut hello = String::new();
         reader.read_line(&mut hello).expect("a line");
@@ -237,6 +250,7 @@
                     );
                 }
                 if command["op"] == "usage" {
+                    questions.fetch_add(1, SeqCst);
                     let used = json!({"op": "used", "tag": command["tag"], "values": [0.5, 2.0, 0.1, 3.0]});
                     send(&link, &used);
                 } else if put.send(command).is_err() {
@@ -370,6 +384,11 @@
 }
 
 impl Called {
+    /// Answers with these very bytes, and ends the connection.
+    pub fn reply_raw(mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("a reply");
+    }
+
     /// Answers, and returns the connection for the next call.
     pub fn reply(mut self, status: &str, headers: &str, body: &[u8]) -> TcpStream {
         let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
