Count what goes wrong with requests into one log line in five seconds

House rule: no line for each request above debug.

Seen on reading src/front/ajp.rs: a header of the browser's that is not UTF-8 closed the whole AJP connection. Headers are bytes now; the stand-in sends one in Latin-1 with every request. A test of idle connections given back is new.

--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -8,7 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, Bytes, BytesMut};
-use log::{info, warn};
+use log::{debug, info, warn};
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use thiserror::Error;
@@ -22,7 +22,7 @@
 use winnow::{ModalResult, Parser, Partial};
 
 use super::{RETRY, next_retry};
-use crate::exchange::{Command, Handle, Input, TryId};
+use crate::exchange::{Command, Handle, Input, Oddity, TryId};
 use crate::interface::Outcome;
 
 /// The longest line that is read.
@@ -344,7 +344,8 @@
     }
 
     async fn rejected(&mut self, command: &str, id: &str) {
-        warn!("the processor rejects {command} of {id}");
+        debug!("the processor rejects {command} of {id}");
+        self.exchange.tell(Input::Odd(Oddity::Rejected)).await;
         if let Some(of) = TryId::parse(id.as_bytes()).filter(|_| command == "begin") {
             let result = Bytes::new();
             self.exchange.tell(Input::RunEnded { of, outcome: Outcome::Error, took_ms: 0.0, result }).await;
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -1,6 +1,6 @@
 //! Takes what has happened in batches, asks the decision module, and does as it says.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,7 +11,7 @@
 use tokio_util::time::{DelayQueue, delay_queue};
 
 use super::kept::{Kept, Key, State};
-use super::types::{Answer, Ask, Call, Command, Input, Posture, ReplyTo, TryId};
+use super::types::{Answer, Ask, Call, Command, Input, Oddity, Posture, ReplyTo, TryId};
 use crate::config::{Site, gauges};
 use crate::interface::{Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, SettingsError};
 use crate::logic::Controller;
@@ -27,6 +27,9 @@
 /// Grace on windows: each time limit grows by 50 ms on sockets.
 const WIRE_SLACK_MS: f64 = 50.0;
 
+/// Time over which oddities are counted into one line of the log each.
+const REPORT: Duration = Duration::from_secs(5);
+
 /// Where the exchange's decisions go.
 pub(super) struct Outputs {
     pub to_processor: mpsc::UnboundedSender<Command>,
@@ -61,6 +64,8 @@
     Due(RequestId),
     /// A kept key has outlived its use.
     Key(Key, RequestId),
+    /// Oddities are to be logged.
+    Report,
 }
 
 /// How far a request has come.
@@ -117,6 +122,7 @@
     asked: Option<(u64, Option<delay_queue::Key>)>,
     tags: u64,
     serials: u64,
+    odd: BTreeMap<Oddity, u32>,
     up: bool,
     /// What the decision module says of its health, and what the operator wishes.
     wants_traffic: bool,
@@ -147,6 +153,7 @@
             asked: None,
             tags: 0,
             serials: 0,
+            odd: BTreeMap::new(),
             up: false,
             wants_traffic: false,
             maintenance: false,
@@ -208,6 +215,7 @@
                     self.events.push(Event::Timer(gauges(&self.site.gauges, &values)));
                 }
             }
+            Input::Odd(oddity) => self.count(oddity),
             Input::Maintenance(wished) => {
                 self.maintenance = wished;
                 self.posture.healthy = self.wants_traffic && !wished;
@@ -247,9 +255,9 @@
             _ => None,
         };
         if key.is_some() && self.kept.is_full() {
-            warn!("the table of keys is full: {} is turned away", ask.of);
             let answer = Answer::Refused { stay_away_ms: settings.max_retry_after_ms, last: false };
-            return reply.send(answer, self.posture.level);
+            reply.send(answer, self.posture.level);
+            return self.note(Oddity::TableFull, ask.of);
         }
         let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived));
         if let Some(key) = &key
@@ -407,18 +415,37 @@
             }
             Wait::Due(id) => self.overdue(id),
             Wait::Key(key, id) => self.kept.expire(&key, id),
+            Wait::Report => {
+                for (oddity, count) in std::mem::take(&mut self.odd) {
+                    warn!("{count} requests {oddity} in the last {} s", REPORT.as_secs());
+                }
+            }
+        }
+    }
+
+    /// Counts what should not happen. Guards the log against a line for each request when much goes wrong.
+    fn note(&mut self, oddity: Oddity, of: TryId) {
+        debug!("{of} {oddity}");
+        self.count(oddity);
+    }
+
+    fn count(&mut self, oddity: Oddity) {
+        if self.odd.is_empty() {
+            self.waits.insert(Wait::Report, REPORT);
         }
+        *self.odd.entry(oddity).or_default() += 1;
     }
 
     /// Guards against a decision module or a processor that says nothing: no request stays without answer.
     fn overdue(&mut self, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.due = None;
-        warn!("{} answered by the failsafe", entry.of);
+        let of = entry.of;
         let answer = match entry.phase {
             Phase::Held => Answer::Refused { stay_away_ms: 0.0, last: false },
             _ => Answer::Failed,
         };
+        self.note(Oddity::Failsafe, of);
         self.answer(id, answer);
         self.events.push(Event::Gone(id));
         self.settled(id);
@@ -476,8 +503,9 @@
             let keyed = class.effect == Effect::Keyed;
             let until = if keyed { entry.arrived + whole } else { f64::INFINITY };
             if !self.kept.begin(&key, id, entry.arrived, until) {
-                warn!("{} repeats a run and is not run", entry.of);
                 entry.phase = Phase::Sharing;
+                let of = entry.of;
+                self.note(Oddity::Repeat, of);
                 let state = self.kept.share(&key, id);
                 return self.share_if_over(id, state);
             }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -14,7 +14,7 @@
 use crate::interface::{RequestId, SettingsError};
 
 pub use self::core::Exchange;
-pub use types::{Answer, Ask, Call, Command, Input, Posture, Reply, ReplyTo, TryId};
+pub use types::{Answer, Ask, Call, Command, Input, Oddity, Posture, Reply, ReplyTo, TryId};
 
 /// Inputs that wait for the exchange before those who give them have to.
 const INPUTS: usize = 4096;
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -127,6 +127,33 @@
     }
 }
 
+/// What should not happen to a request, and is counted for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Oddity {
+    /// Answered by the failsafe, as the decision module was silent until it was nearly due.
+    Failsafe,
+    /// A second run within the window that the table of keys has stopped.
+    Repeat,
+    /// Turned away as the table of keys is full.
+    TableFull,
+    /// Failed unread, as its class or one of its fields makes no sense.
+    Unfit,
+    /// A command that the processor has not carried out.
+    Rejected,
+}
+
+impl fmt::Display for Oddity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Failsafe => "answered by the failsafe",
+            Self::Repeat => "repeated a run and were not run",
+            Self::TableFull => "turned away with the table of keys full",
+            Self::Unfit => "failed unread",
+            Self::Rejected => "rejected by the processor",
+        })
+    }
+}
+
 /// What happens to a node.
 #[derive(Debug)]
 pub enum Input {
@@ -181,6 +208,8 @@
         /// The values, in the order of the settings.
         values: Vec<f32>,
     },
+    /// Something has gone wrong with a request that the exchange does not see itself.
+    Odd(Oddity),
     /// Whether the operator wants no traffic sent here.
     Maintenance(bool),
     /// The notice to leave: the process is stopped after this many ms.
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -76,8 +76,8 @@
 #[derive(Debug, Default)]
 struct Forward<'a> {
     method: u8,
-    uri: &'a str,
-    headers: Vec<(Name<'a>, &'a str)>,
+    uri: &'a [u8],
+    headers: Vec<(Name<'a>, &'a [u8])>,
     secret: Option<&'a [u8]>,
 }
 
@@ -94,21 +94,17 @@
     alt((absent, present)).parse_next(input)
 }
 
-fn text<'a>(input: &mut &'a [u8]) -> ModalResult<&'a str> {
-    string.try_map(std::str::from_utf8).parse_next(input)
-}
-
 fn name<'a>(input: &mut &'a [u8]) -> ModalResult<Name<'a>> {
     alt((preceded(0xa0u8, be_u8).map(Name::Coded), string.map(Name::Text))).parse_next(input)
 }
 
 fn forward<'a>(input: &mut &'a [u8]) -> ModalResult<Forward<'a>> {
-    let (method, _protocol, uri) = (be_u8, string, text).parse_next(input)?;
+    let (method, _protocol, uri) = (be_u8, string, string).parse_next(input)?;
     let (_address, _host, _server, _port, _tls) =
         (string, string, string, be_u16, be_u8).parse_next(input)?;
     let mut request = Forward { method, uri, ..Forward::default() };
     for _ in 0..be_u16.parse_next(input)? {
-        request.headers.push((name, text).parse_next(input)?);
+        request.headers.push((name, string).parse_next(input)?);
     }
     loop {
         match be_u8.parse_next(input)? {
@@ -129,8 +125,10 @@
 }
 
 impl<'a> Forward<'a> {
+    /// A header that this front makes use of. Those of others may hold any bytes.
     fn header(&self, code: u8, text: &str) -> Option<&'a str> {
-        self.headers.iter().find(|(name, _)| name.is(code, text)).map(|(_, value)| *value)
+        let found = self.headers.iter().find(|(name, _)| name.is(code, text));
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
     }
 
     /// How much body follows; `None` where only its end will tell.
@@ -143,7 +141,7 @@
     }
 
     fn path(&self) -> &'a str {
-        self.uri.split(['?', ';']).next().unwrap_or_default()
+        std::str::from_utf8(self.uri).unwrap_or_default().split(['?', ';']).next().unwrap_or_default()
     }
 
     /// The request in the core's terms, but for its body; else the status that answers it.
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -20,7 +20,7 @@
 use winnow::{ModalResult, Parser, Partial};
 
 use super::{Shared, waited_ms};
-use crate::exchange::{Answer, Ask, Input, Posture, Reply, ReplyTo, TryId};
+use crate::exchange::{Answer, Ask, Input, Oddity, Posture, Reply, ReplyTo, TryId};
 use crate::interface::RequestId;
 
 /// Words of one array, bytes of one word, and bytes of one whole message that are read at the most.
@@ -280,7 +280,8 @@
                 self.remember(token, id);
             }
             Message::Unfit(token, why) => {
-                warn!("a request is failed unread: {why}");
+                debug!("a request is failed unread: {why}");
+                self.shared.exchange.tell(Input::Odd(Oddity::Unfit)).await;
                 let reply = Reply { token, answer: Answer::Failed, level: None, slot: Some(slot) };
                 let _ = self.others.send(Outgoing::Reply(reply));
             }
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -198,6 +198,10 @@
     assert_eq!(play.answer(&mut two), None);
     assert_eq!(play.node.processor.count("begin"), begun, "nothing is run after the grace");
     assert_eq!(play.answer(&mut one), None, "what still runs is answered before the stop");
+    assert_eq!((play.counts.refused, play.counts.failed), (2, 1));
+    if let Caller::Resp(front) = &one {
+        assert!(front.closing, "the connection is given back");
+    }
     drop((one, two));
     assert!(play.node.ended().success());
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -184,6 +184,20 @@
     assert_eq!(front.answer().body, b"paid");
 }
 
+#[rstest]
+fn an_idle_connection_is_given_back_and_answered_until_it_is_closed() {
+    let mut settings = settings();
+    settings["family-info"]["idle"] = json!(50.0);
+    settings["family-info"]["senders"] = json!(100);
+    let mut node = Node::start_with(settings);
+    let mut front = FrontEnd::connect(&node.resp);
+    assert_eq!(front.words(), [b"0".to_vec(), b"closing".to_vec()]);
+    // A request may cross the notice.
+    let req = run(&mut node, &mut front, 1, "plate-check", "");
+    node.processor.complete(&req, b"crossed");
+    assert_eq!(front.answer().body, b"crossed");
+}
+
 #[rstest]
 #[case::not_resp(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
 #[case::too_many_words(b"*99\r\n".to_vec())]
@@ -199,5 +213,6 @@
     assert!(bad.is_closed());
     front.send(&[b"ASK", b"1", b"nothing", b"req=00000000000000aa", b""]);
     assert_eq!(front.answer().word, "error", "a class that is not known fails the request alone");
+    node.logged("1 requests failed unread in the last 5 s");
     assert_eq!(front.answer_to_status().word, "healthy");
 }
--- a/tests/support/ajp.rs
+++ b/tests/support/ajp.rs
@@ -43,7 +43,9 @@
         payload.extend(string(text));
     }
     payload.extend([0, 80, 0]);
-    payload.extend((headers.len() as u16 + 1).to_be_bytes());
+    payload.extend((headers.len() as u16 + 2).to_be_bytes());
+    // A header of the browser's, in Latin-1: none of the node's business.
+    payload.extend([&[0xa0, 0x0e][..], &[0, 4], b"caf\xe9\0"].concat());
     for (name, value) in headers {
         payload.extend([string(name), string(value)].concat());
     }
--- a/tests/support/resp.rs
+++ b/tests/support/resp.rs
@@ -8,6 +8,8 @@
 pub struct FrontEnd {
     pub stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// Whether the node has given the connection back.
+    pub closing: bool,
 }
 
 #[derive(Debug, PartialEq)]
@@ -33,7 +35,7 @@
         let stream = TcpStream::connect(address).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let reader = BufReader::new(stream.try_clone().expect("a handle"));
-        Self { stream, reader }
+        Self { stream, reader, closing: false }
     }
 
     pub fn send(&mut self, words: &[&[u8]]) {
@@ -50,14 +52,23 @@
         self.send(&[b"ASK", tag.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), body]);
     }
 
+    /// The next answer; a connection that is given back meanwhile is noted.
     pub fn answer(&mut self) -> Answer {
-        let words = self.line()[1..].parse().expect("a number of words");
-        let mut words: Vec<Vec<u8>> = (0..words).map(|_| self.bulk()).collect();
+        let mut words = self.words();
+        while words[1] == b"closing" {
+            self.closing = true;
+            words = self.words();
+        }
         words.resize(4, Vec::new());
         let text = |word: &[u8]| String::from_utf8(word.to_vec()).expect("text");
         Answer { tag: text(&words[0]), word: text(&words[1]), fields: text(&words[2]), body: words.remove(3) }
     }
 
+    pub fn words(&mut self) -> Vec<Vec<u8>> {
+        let count: usize = self.line()[1..].parse().expect("a number of words");
+        (0..count).map(|_| self.bulk()).collect()
+    }
+
     fn line(&mut self) -> String {
         let mut line = String::new();
         self.reader.read_line(&mut line).expect("a line");
