--- a/tests/node.rs
+++ b/tests/node.rs
@@ -184,6 +184,18 @@
     assert_eq!(front.answer().body, b"paid");
 }
 
+#[rstest]
+fn a_caller_that_never_reads_is_read_no_further_and_stalls_nobody() {
+    use std::io::Write;
+    let (_node, mut front) = started();
+    let mut deaf = FrontEnd::connect(&front.stream.peer_addr().expect("an address").to_string());
+    deaf.stream.set_write_timeout(Some(std::time::Duration::from_millis(300))).expect("a timeout");
+    let flood = array(&[b"STATUS", b"1", b""]).repeat(1000);
+    let unread = (0..10_000).find(|_| deaf.stream.write_all(&flood).is_err());
+    assert!(unread.is_some(), "the node keeps on reading what it can never answer");
+    assert_eq!(front.answer_to_status().word, "healthy");
+}
+
 #[rstest]
 fn an_idle_connection_is_given_back_and_answered_until_it_is_closed() {
     let mut settings = settings();
