Open a door for operators: ready or not, standby on and off; listen on a held socket

Cause: nothing listened at admin_addr, so POST /standby was never heard (node.rs), and TcpListener::bind met the socket that the platform already holds (PROXY_FD). Ruled out: the control plane's reports and the health checks, which follow Posture at once as maintenance shows.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,8 @@
 mod settings;
 
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -55,6 +57,10 @@
     pub name: String,
     /// Where front ends connect.
     pub listen: SocketAddr,
+    /// The number of the descriptor under which the platform hands down the socket that it holds there.
+    pub inherited: Option<RawFd>,
+    /// Where operators connect; without it there is no door for them.
+    pub admin: Option<SocketAddr>,
     /// Where the other parties are reached.
     pub peers: Peers,
     /// Seed for the decision module's random numbers.
@@ -95,6 +101,7 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    admin_addr: Option<SocketAddr>,
     #[serde(flatten)]
     peers: Peers,
     #[serde(default)]
@@ -111,7 +118,8 @@
 }
 
 impl Config {
-    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME` and `PROXY_LISTEN` go before what it says.
+    /// Reads the file that `PROXY_CONFIG` names; `PROXY_NAME`, `PROXY_LISTEN` and `PROXY_ADMIN_ADDR` go before
+    /// what it says.
     ///
     /// # Errors
     /// Says which variable, file or value is at fault.
@@ -125,10 +133,9 @@
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
-        if let Ok(listen) = std::env::var("PROXY_LISTEN") {
-            let bad = |_| ConfigError::Value(format!("PROXY_LISTEN: '{listen}' is not an address"));
-            config.listen = listen.parse().map_err(bad)?;
-        }
+        config.listen = variable("PROXY_LISTEN")?.unwrap_or(config.listen);
+        config.admin = variable("PROXY_ADMIN_ADDR")?.or(config.admin);
+        config.inherited = variable("PROXY_FD")?;
         Ok(config)
     }
 
@@ -149,6 +156,8 @@
         Ok(Self {
             name: file.name,
             listen: file.listen,
+            inherited: None,
+            admin: file.admin_addr,
             peers: file.peers,
             seed,
             stop: Duration::from_millis(file.stop_ms),
@@ -159,3 +168,8 @@
         })
     }
 }
+
+fn variable<T: FromStr>(name: &'static str) -> Result<Option<T>, ConfigError> {
+    let bad = |text: &str| ConfigError::Value(format!("{name}: '{text}' cannot be read"));
+    std::env::var(name).ok().map(|text| text.parse().map_err(|_| bad(&text))).transpose()
+}
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -232,11 +232,17 @@
             Input::Odd(oddity) => self.count(oddity),
             Input::Maintenance(wished) => {
                 self.maintenance = wished;
-                self.posture.healthy = self.wants_traffic && !wished;
+                self.stand();
+            }
+            Input::Standby(wished) => {
+                info!("standby {}", if wished { "on" } else { "off" });
+                self.posture.standby = wished;
+                self.stand();
             }
             Input::Drain { stop_in_ms } => {
                 info!("draining: {} requests open, {stop_in_ms} ms to the stop", self.entries.len());
                 self.leaving = true;
+                self.stand();
                 if self.up {
                     let stop_at = self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0);
                     self.events.push(Event::Drain { stop_at });
@@ -245,6 +251,13 @@
         }
     }
 
+    /// Shows how the node stands after a change of what it wants or is told.
+    fn stand(&mut self) {
+        let wished_away = self.maintenance || self.posture.standby;
+        self.posture.healthy = self.wants_traffic && !wished_away;
+        self.posture.ready = self.up && !self.leaving && !wished_away;
+    }
+
     /// Starts the decision module with the processor, whose age tells how far it has warmed.
     fn processor_up(&mut self, cold: bool, age_ms: f64) {
         if self.leaving || std::mem::replace(&mut self.up, true) {
@@ -527,7 +540,7 @@
             Action::Forget(_) => {}
             Action::Health { good } => {
                 self.wants_traffic = good;
-                self.posture.healthy = good && !self.maintenance;
+                self.stand();
             }
             Action::Say(value) if self.site.settings.say != SayKind::Off => self.posture.level = Some(value),
             Action::Say(_) => {}
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -231,8 +231,10 @@
     },
     /// Something has gone wrong with a request that the exchange does not see itself.
     Odd(Oddity),
-    /// Whether the operator wants no traffic sent here.
+    /// Whether the operator wants no traffic sent here, as the store has it.
     Maintenance(bool),
+    /// The same, as told at the operators' door.
+    Standby(bool),
     /// The notice to leave: the process is stopped after this many ms.
     Drain {
         /// Time until the stop, in ms.
@@ -297,6 +299,10 @@
 pub struct Posture {
     /// Whether it wants traffic.
     pub healthy: bool,
+    /// Whether it is up and nobody has told it to send clients away.
+    pub ready: bool,
+    /// Whether it has been told so at the operators' door.
+    pub standby: bool,
     /// The free value, once there is one.
     pub level: Option<f64>,
     /// Connections idle for this many ms are closed, where that is wished.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Client side: fronts that turn bytes into typed requests and answers into bytes.
 
+pub mod admin;
 pub mod ajp;
 mod fields;
 pub mod resp;
@@ -17,7 +18,7 @@
 
 use crate::config::Site;
 use crate::exchange::{Handle, Input, Oddity};
-use table::{Seat, Table};
+use table::{Room, Seat, Table};
 
 /// Wait after a failed accept, so that a full table of descriptors is not hammered.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -25,6 +26,8 @@
 /// A client that has said nothing whole for this long is closed: since its connection was accepted, or since it
 /// began what it has not ended.
 const SPEAKS_WITHIN: Duration = Duration::from_secs(2);
+/// A client that has said nothing for this long since its connection was accepted may lose its place.
+const SPARED: Duration = Duration::from_millis(200);
 /// A client that has not taken an answer for this long is closed: all answers are overdue then.
 const WRITES_WITHIN: Duration = Duration::from_secs(10);
 /// A connection that has been idle for this much longer than front ends keep theirs is given back.
@@ -66,15 +69,21 @@
     }
 }
 
+/// The room of a front for clients.
+pub fn room(most: usize) -> Room {
+    Room { most, spares: SPARED }
+}
+
 /// Serves every connection of a listener until connections are to be given back, and then those that are left.
-/// There are `most` at the most: a newcomer takes the place of one that says nothing, or is closed unread.
-pub async fn serve<F, C>(listener: TcpListener, most: usize, shared: Rc<Shared>, connection: C)
+/// There is `room` for so many: a newcomer takes the place of one that says nothing, or is closed unread.
+pub async fn serve<F, C>(listener: TcpListener, room: Room, shared: Rc<Shared>, connection: C)
 where
     F: Future<Output = ()> + 'static,
     C: Fn(TcpStream, Seat) -> F,
 {
     let mut open = JoinSet::new();
-    let table = Rc::new(Table::default());
+    let table = Rc::new(Table::new(room.spares));
+    let most = room.most;
     loop {
         let accepted = tokio::select! {
             biased;
--- a/src/front/table.rs
+++ b/src/front/table.rs
@@ -9,9 +9,6 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A connection that has said nothing for this long since it was accepted may lose its place.
-const SPEAKS_WITHIN: Duration = Duration::from_millis(200);
-
 /// How a connection without open requests stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
@@ -22,14 +19,28 @@
 /// Those that may lose their place, each kind in the order of its time.
 type Rows = BTreeMap<(Standing, u64), (Instant, Rc<Notify>)>;
 
+/// How many connections there may be, and how long one is spared after it was accepted though it says nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Connections at the most.
+    pub most: usize,
+    /// Those that are newer keep their place.
+    pub spares: Duration,
+}
+
 /// The table.
-#[derive(Default)]
 pub(super) struct Table {
+    spares: Duration,
     rows: RefCell<Rows>,
     stamps: Cell<u64>,
 }
 
 impl Table {
+    /// A table without connections.
+    pub fn new(spares: Duration) -> Self {
+        Self { spares, rows: RefCell::default(), stamps: Cell::new(0) }
+    }
+
     /// Enters a connection that has said nothing yet.
     pub fn enter(self: &Rc<Self>) -> Seat {
         let seat = Seat { table: self.clone(), row: Cell::new(None), lost: Rc::default() };
@@ -42,7 +53,7 @@
         let mut rows = self.rows.borrow_mut();
         let now = Instant::now();
         let silent = rows.first_key_value().filter(|((standing, _), (since, _))| {
-            *standing == Standing::Quiet || now.duration_since(*since) >= SPEAKS_WITHIN
+            *standing == Standing::Quiet || now.duration_since(*since) >= self.spares
         });
         let found = silent.map(|(key, _)| *key);
         let quiet = || rows.range((Standing::Quiet, 0)..).next().map(|(key, _)| *key);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod exchange;
 pub mod front;
 pub mod haproxy;
+pub mod inherit;
 pub mod interface;
 pub mod logic;
 pub mod node;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! A whole node: its configuration, its exchange and the tasks of both sides, from start to stop.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::config::{Config, ConfigError, Peers};
 use crate::exchange::{self, Handle, Input};
 use crate::front::{self, Shared, ajp, resp};
+use crate::inherit;
 use crate::interface::SettingsError;
 use crate::store::{self, Contents};
 
@@ -51,7 +53,10 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = match config.inherited {
+        Some(descriptor) => inherit::listener(descriptor)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     info!("{} listens on {}", config.name, listener.local_addr()?);
     let (exchange, handle, servers) = exchange::new(config.seed, &config.site, config.memory_bytes)?;
     spawn_local(exchange.run());
@@ -66,6 +71,9 @@
     let contents = store::start(&config.name, config.operator.store.clone(), published)?;
     spawn_local(follow_file(hangup, reached, publish));
     spawn_local(follow_operator(format!("state/{}/maintenance", config.name), contents, handle.clone()));
+    if let Some(admin) = config.admin {
+        admit_operators(&config, admin, handle.clone()).await?;
+    }
     let closing = CancellationToken::new();
     let shared = Shared::new(&config.site, handle.clone(), closing.clone());
     let fronts = fronts(&config, listener, shared).await?;
@@ -77,6 +85,17 @@
     Ok(())
 }
 
+/// Opens the operators' door, which stays open to the end.
+async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> io::Result<()> {
+    let listener = TcpListener::bind(admin).await?;
+    info!("{} listens for operators on {}", config.name, listener.local_addr()?);
+    let shared = Shared::new(&config.site, exchange, CancellationToken::new());
+    let of_all = shared.clone();
+    let connection = move |stream, seat| front::admin::connection(stream, of_all.clone(), seat);
+    spawn_local(front::serve(listener, front::admin::ROOM, shared, connection));
+    Ok(())
+}
+
 /// Reads the configuration anew at each SIGHUP and, where it is good, turns to the addresses that it tells. All
 /// else in it counts from the next start.
 async fn follow_file(mut hangup: Signal, reached: watch::Sender<Peers>, publish: watch::Sender<String>) {
@@ -120,12 +139,12 @@
         let connections = options.connections.map_or(most / 2, |set| set.min(most / 2));
         let front = Rc::new(ajp::Front { shared: shared.clone(), options });
         let connection = move |stream, seat| ajp::connection(stream, front.clone(), seat);
-        fronts.spawn_local(front::serve(listener, connections, shared.clone(), connection));
+        fronts.spawn_local(front::serve(listener, front::room(connections), shared.clone(), connection));
     }
     let most = if config.operator.ajp.is_some() { most / 2 } else { most };
     let of_all = shared.clone();
     let connection = move |stream, seat| resp::connection(stream, shared.clone(), seat);
-    fronts.spawn_local(front::serve(listener, most, of_all, connection));
+    fronts.spawn_local(front::serve(listener, front::room(most), of_all, connection));
     Ok(fronts)
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -335,6 +335,7 @@
 fn a_caller_that_never_reads_is_read_no_further_and_stalls_nobody() {
     use std::io::Write;
     let (_node, mut front) = started();
+    assert_eq!(front.answer_to_status().word, "healthy", "it has spoken, so it may rest during the flood");
     let mut deaf = FrontEnd::connect(&front.stream.peer_addr().expect("an address").to_string());
     deaf.stream.set_write_timeout(Some(Duration::from_millis(300))).expect("a timeout");
     let flood = array(&[b"STATUS", b"1", b""]).repeat(1000);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -22,6 +23,11 @@
 /// Past this a test has failed: far longer than anything takes that it waits for.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sillflow");
+
+/// Folders that were made.
+static DIRS: AtomicU64 = AtomicU64::new(0);
+
 /// Settings of a node with two cores, in the words of the platform. Limits are short, so tests are.
 pub fn settings() -> Value {
     let class = |name: &str, effect: &str, limit: f64, worth: f64| {
@@ -44,7 +50,7 @@
 
 /// A node's configuration, with nobody at its addresses yet.
 pub fn config(settings: Value) -> Value {
-    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1500,
+    json!({"name": "n1", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "stop_ms": 1500,
         "processor": "127.0.0.1:1", "control": "127.0.0.1:1", "settings": settings,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}})
 }
@@ -58,15 +64,27 @@
     format!("{n:016x}")
 }
 
+/// What a node's processes share, and nobody after them.
+struct Dir(PathBuf);
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// A node and its stand-ins.
 pub struct Node {
     child: Child,
     log: Receiver<String>,
     seen: Vec<String>,
-    dir: PathBuf,
+    dir: Arc<Dir>,
     config: Value,
+    /// The clients' socket, where the platform holds it.
+    held: Option<TcpListener>,
     pub resp: String,
     pub ajp: String,
+    pub admin: String,
     pub processor: Processor,
     pub records: Records,
     pub control: UdpSocket,
@@ -96,34 +114,72 @@
     }
 
     /// The same with a whole configuration, but for the addresses of the stand-ins.
-    pub fn launch_as(mut config: Value, more: &str) -> Self {
+    pub fn launch_as(config: Value, more: &str) -> Self {
+        let name = format!("sillflow-{}-{}", std::process::id(), DIRS.fetch_add(1, SeqCst));
+        let dir = Dir(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&dir.0).expect("a folder");
+        let operator = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
+        std::fs::write(dir.0.join("operator.toml"), operator).expect("a file");
+        Self::spawn(config, Arc::new(dir), None)
+    }
+
+    /// A node whose listening socket is held by the platform and handed down to it.
+    pub fn launch_held(settings: Value) -> Self {
+        let name = format!("sillflow-{}-{}", std::process::id(), DIRS.fetch_add(1, SeqCst));
+        let dir = Dir(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&dir.0).expect("a folder");
+        std::fs::write(dir.0.join("operator.toml"), "").expect("a file");
+        let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut config = config(settings);
+        config["listen"] = held.local_addr().expect("an address").to_string().into();
+        Self::spawn(config, Arc::new(dir), Some(held))
+    }
+
+    fn spawn(mut config: Value, dir: Arc<Dir>, held: Option<TcpListener>) -> Self {
         let processor = Processor::listen();
         let records = Records::listen();
         let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
         control.set_read_timeout(Some(PATIENCE)).expect("a timeout");
-        let dir = std::env::temp_dir().join(format!("sillflow-{}-{}", std::process::id(), processor.port));
-        std::fs::create_dir_all(&dir).expect("a folder");
         name_peers(&mut config, &processor, &records, &control);
-        std::fs::write(dir.join("config.json"), config.to_string()).expect("a file");
-        let operator = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
-        std::fs::write(dir.join("operator.toml"), operator).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_sillflow"))
-            .env("PROXY_CONFIG", dir.join("config.json"))
-            .env("SILLFLOW_OPERATOR", dir.join("operator.toml"))
+        std::fs::write(dir.0.join("config.json"), config.to_string()).expect("a file");
+        let mut command = match &held {
+            None => Command::new(PROGRAM),
+            Some(socket) => {
+                let mut shell = Command::new("sh");
+                let handed = socket.try_clone().expect("a handle");
+                shell.args(["-c", "exec \"$0\" 4<&0 </dev/null", PROGRAM]).stdin(OwnedFd::from(handed));
+                shell.env("PROXY_FD", "4");
+                shell
+            }
+        };
+        let mut child = command
+            .env("PROXY_CONFIG", dir.0.join("config.json"))
+            .env("SILLFLOW_OPERATOR", dir.0.join("operator.toml"))
+            .env("TMPDIR", &dir.0)
             .env_remove("PROXY_NAME")
             .env_remove("PROXY_LISTEN")
+            .env_remove("PROXY_ADMIN_ADDR")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
         let log = lines(child.stderr.take().expect("a pipe"));
-        let (resp, ajp) = (String::new(), String::new());
+        let (resp, ajp, admin) = (String::new(), String::new(), String::new());
         let seen = Vec::new();
-        let mut node = Self { child, log, seen, dir, config, resp, ajp, processor, records, control };
-        node.resp = node.logged("listens on").rsplit(' ').next().unwrap_or_default().to_owned();
-        node.ajp = node.logged("listens for AJP on").rsplit(' ').next().unwrap_or_default().to_owned();
+        let mut node =
+            Self { child, log, seen, dir, config, held, resp, ajp, admin, processor, records, control };
+        node.resp = node.address("listens on");
+        node.admin = node.address("listens for operators on");
+        if node.held.is_none() {
+            node.ajp = node.address("listens for AJP on");
+        }
         node
     }
 
+    /// The address at the end of a line of the log.
+    fn address(&mut self, part: &str) -> String {
+        self.logged(part).rsplit(' ').next().unwrap_or_default().to_owned()
+    }
+
     /// Waits for a line of the log.
     pub fn logged(&mut self, part: &str) -> String {
         loop {
@@ -163,7 +219,7 @@
 
     /// Puts this text in the place of the configuration and tells the node.
     pub fn reconfigure(&self, text: &str) {
-        std::fs::write(self.dir.join("config.json"), text).expect("a file");
+        std::fs::write(self.dir.0.join("config.json"), text).expect("a file");
         self.signal("-HUP");
     }
 
@@ -178,6 +234,18 @@
         self.reconfigure(&self.config.to_string());
     }
 
+    /// Makes one call at the operators' door; its status.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        let mut stream = TcpStream::connect(&self.admin).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let call = format!("{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 2\r\n\r\n{{}}");
+        stream.write_all(call.as_bytes()).expect("a write");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("a whole answer");
+        let status = answer.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3)).expect("a status");
+        status.parse().expect("a number")
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
@@ -194,7 +262,6 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
 
@@ -489,8 +556,7 @@
 
 /// Runs a command of the operator's; what it prints, and whether it went well.
 pub fn operate(arguments: &[&str]) -> (bool, String, String) {
-    let run =
-        Command::new(env!("CARGO_BIN_EXE_sillflow")).args(arguments).output().expect("the program runs");
+    let run = Command::new(PROGRAM).args(arguments).output().expect("the program runs");
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
     (run.status.success(), text(run.stdout), text(run.stderr))
 }
