Put new settings in force on SIGHUP: classes come and go, half a file is turned down

Cause 1: follow_file in node.rs took over addresses only, so every request of the class that was added was an unknown class. Cause 2: the second file had a deadline of nought and another processor port; Config::from_env parsed it, nobody checked the settings again after the start. Ruled out: the link, which came back at once with the next good file; the fronts, whose connections stayed.

Now: Config::renewed holds a file to every key of the one in force and to the module's own check; Site::retuned keeps places, so an index in an open request never changes its meaning; Controller::retune keeps what was learned. Rejected: a new Controller per file - it would forget run times, limit and dimmer, and every open request with them; and using places of dropped classes again - kept keys and open requests name classes by place.

--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -146,7 +146,6 @@
 /// The link to the processor and all that outlives a break of it.
 pub struct Link {
     peers: watch::Receiver<Peers>,
-    classes: Vec<String>,
     exchange: Handle,
     commands: mpsc::UnboundedReceiver<Command>,
     /// The number of the last notice that was read.
@@ -165,14 +164,12 @@
     /// A link that is not up yet.
     pub fn new(
         peers: watch::Receiver<Peers>,
-        classes: Vec<String>,
         exchange: Handle,
         commands: mpsc::UnboundedReceiver<Command>,
     ) -> Self {
         let unproved = VecDeque::new();
         Self {
             peers,
-            classes,
             exchange,
             commands,
             seq: 0,
@@ -275,11 +272,10 @@
     }
 
     fn put_command(&mut self, command: &Command) {
-        let class_name;
+        let catalog = self.exchange.catalog();
         let line = match command {
             Command::Begin { of, class, body } => {
-                class_name = self.classes[*class].clone();
-                Line::Begin { id: of.as_str(), class: &class_name, body }
+                Line::Begin { id: of.as_str(), class: &catalog.names[*class], body }
             }
             Command::Answer { of, body } => Line::Answer { id: of.as_str(), body },
             Command::Without { of, notice } => Line::Without { id: of.as_str(), seq: *notice },
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 //! operator's file.
 
 mod operator;
+mod renew;
 mod settings;
 
 use std::net::SocketAddr;
@@ -10,8 +11,12 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use thiserror::Error;
 
+use crate::interface::SettingsError;
+use crate::validate::check;
+
 pub use operator::{Ajp, Operator, Peer, StoreOptions};
 pub use settings::{Pairs, Site, gauges, parse};
 
@@ -48,6 +53,9 @@
     /// A value cannot be used.
     #[error("{0}")]
     Value(String),
+    /// The settings make no sense.
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
 }
 
 /// All that one node needs to know.
@@ -75,6 +83,8 @@
     pub site: Site,
     /// What the operator has set.
     pub operator: Operator,
+    /// The platform's file as it stands.
+    file: Value,
 }
 
 /// Where the parties on the server side are reached. These may change while the node runs.
@@ -108,7 +118,7 @@
     seed: String,
     stop_ms: u64,
     limits: Limits,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Deserialize)]
@@ -127,8 +137,10 @@
         let path = std::env::var("PROXY_CONFIG").map_err(|_| ConfigError::Unset("PROXY_CONFIG"))?;
         let text = std::fs::read_to_string(&path)
             .map_err(|cause| ConfigError::File { path: path.clone(), cause })?;
-        let file: File = serde_json::from_str(&text).map_err(|cause| ConfigError::Json { path, cause })?;
-        let mut config = Self::from_file(file)?;
+        let bad = |cause| ConfigError::Json { path: path.clone(), cause };
+        let whole: Value = serde_json::from_str(&text).map_err(bad)?;
+        let file = File::deserialize(&whole).map_err(bad)?;
+        let mut config = Self::from_file(file, whole)?;
         config.operator = Operator::from_env()?;
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
@@ -139,6 +151,18 @@
         Ok(config)
     }
 
+    /// Reads all of this anew. The whole file must be good, and hold all that the one in force holds.
+    ///
+    /// # Errors
+    /// Says which variable, file, key or value is at fault.
+    pub fn renewed(&self) -> Result<Self, ConfigError> {
+        let new = Self::from_env()?;
+        match renew::lacks(&self.file, &new.file) {
+            Some(key) => Err(ConfigError::Value(format!("'{key}' is missing"))),
+            None => Ok(new),
+        }
+    }
+
     /// The text that is kept in the store: all but the settings and the secret.
     ///
     /// # Errors
@@ -148,11 +172,13 @@
         serde_json::to_string(&Published { listen: *listen, peers: *peers, operator })
     }
 
-    fn from_file(file: File) -> Result<Self, ConfigError> {
+    fn from_file(file: File, whole: Value) -> Result<Self, ConfigError> {
         let bad_seed = |_| ConfigError::Value(format!("seed: '{}' is not a hexadecimal number", file.seed));
         let seed =
             if file.seed.is_empty() { 0 } else { u64::from_str_radix(&file.seed, 16).map_err(bad_seed)? };
         let site = parse(&Pairs::from_json(&file.settings)).map_err(ConfigError::Value)?;
+        check(&site.settings)?;
+        check_classes(&file.settings)?;
         Ok(Self {
             name: file.name,
             listen: file.listen,
@@ -165,6 +191,7 @@
             memory_bytes: file.limits.memory_mb << 20,
             site,
             operator: Operator::default(),
+            file: whole,
         })
     }
 }
@@ -173,3 +200,20 @@
     let bad = |text: &str| ConfigError::Value(format!("{name}: '{text}' cannot be read"));
     std::env::var(name).ok().map(|text| text.parse().map_err(|_| bad(&text))).transpose()
 }
+
+/// Each class has a name, and times that are numbers rather than what reads like one.
+fn check_classes(settings: &Value) -> Result<(), ConfigError> {
+    let bad = |what: String| Err(ConfigError::Value(what));
+    let Some(classes) = settings["classes"].as_array().filter(|classes| !classes.is_empty()) else {
+        return bad("there are no classes".to_owned());
+    };
+    for class in classes {
+        let Some(name) = class["name"].as_str().filter(|name| !name.is_empty()) else {
+            return bad("a class without a name".to_owned());
+        };
+        if let Some(time) = ["aim", "hard-limit"].into_iter().find(|time| !class[time].is_number()) {
+            return bad(format!("{time} of {name} is not a number"));
+        }
+    }
+    Ok(())
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -20,6 +20,37 @@
     pub tenants: Vec<String>,
 }
 
+impl Site {
+    /// The same site under new settings. What requests name keeps its place, so that open ones keep their class:
+    /// a class that is gone is retired, a tenant that is gone loses its name.
+    #[must_use]
+    pub fn retuned(&self, new: Self) -> Self {
+        let mut site = Self { classes: self.classes.clone(), tenants: self.tenants.clone(), ..new.clone() };
+        let gone = |class: &Class| Class { retired: true, ..class.clone() };
+        site.settings.classes = self.settings.classes.iter().map(gone).collect();
+        place(&mut site.classes, &mut site.settings.classes, &new.classes, new.settings.classes);
+        site.settings.tenants = self.settings.tenants.clone();
+        for name in site.tenants.iter_mut().filter(|name| !new.tenants.contains(name)) {
+            name.clear();
+        }
+        place(&mut site.tenants, &mut site.settings.tenants, &new.tenants, new.settings.tenants);
+        site
+    }
+}
+
+/// Puts items where their names are, or behind all others.
+fn place<T>(names: &mut Vec<String>, items: &mut Vec<T>, new_names: &[String], new_items: Vec<T>) {
+    for (name, item) in new_names.iter().zip(new_items) {
+        match names.iter().position(|known| known == name) {
+            Some(at) => items[at] = item,
+            None => {
+                names.push(name.clone());
+                items.push(item);
+            }
+        }
+    }
+}
+
 /// Settings by path.
 #[derive(Default)]
 pub struct Pairs(BTreeMap<String, String>);
@@ -128,6 +159,7 @@
             window_ms: pairs.number(&field("repeat-window"))?,
             calls: calls.get(i).copied().unwrap_or(false),
             skip_worth: skips.get(i).copied().unwrap_or(0.0),
+            retired: false,
         });
     }
     let (mut tenants, mut tenant_names) = (Vec::new(), Vec::new());
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
 
+use super::catalog::Catalog;
 use super::kept::{Kept, Key, State};
 use super::types::{Answer, Ask, Call, Command, Input, Oddity, Posture, ReplyTo, TryId};
 use crate::config::{Site, gauges};
@@ -33,6 +35,9 @@
 /// Part of the node's own memory that keys and their results may take: one in so many.
 const KEPT_SHARE: usize = 4;
 
+/// A class that was dropped is served for this long still: front ends hear of it a second or two late.
+const RETIRES: Duration = Duration::from_secs(3);
+
 /// Time over which oddities are counted into one line of the log each.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -41,6 +46,7 @@
     pub to_processor: mpsc::UnboundedSender<Command>,
     pub to_below: mpsc::UnboundedSender<Call>,
     pub shown: watch::Sender<Posture>,
+    pub offered: watch::Sender<Rc<Catalog>>,
 }
 
 /// A clock in ms that starts at Unix time and never runs backwards.
@@ -72,6 +78,8 @@
     Lost(RequestId),
     /// A kept key has outlived its use.
     Key(Key, RequestId),
+    /// Classes that were dropped at this retuning are served no more.
+    Retired(u64),
     /// Oddities are to be logged.
     Report,
 }
@@ -128,6 +136,8 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     posture: Posture,
+    /// How often the settings have changed.
+    retuned: u64,
     /// The question for gauges that is out, with its wait until that is over.
     asked: Option<(u64, Option<delay_queue::Key>)>,
     tags: u64,
@@ -164,6 +174,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             posture: Posture::default(),
+            retuned: 0,
             asked: None,
             tags: 0,
             serials: 0,
@@ -230,6 +241,7 @@
                 }
             }
             Input::Odd(oddity) => self.count(oddity),
+            Input::Retune(site) => self.retune(*site),
             Input::Maintenance(wished) => {
                 self.maintenance = wished;
                 self.stand();
@@ -251,6 +263,23 @@
         }
     }
 
+    /// Works on under new settings. Callers hear of them later than the node: for a while a class that was
+    /// dropped is served beside those that were added.
+    fn retune(&mut self, new: Site) {
+        let site = self.site.retuned(new);
+        if let Err(problem) = self.controller.retune(site.settings.clone()) {
+            return warn!("the settings stay as they were: {problem}");
+        }
+        self.site = site;
+        self.retuned += 1;
+        self.offer(true);
+        self.waits.insert(Wait::Retired(self.retuned), RETIRES);
+    }
+
+    fn offer(&self, with_retired: bool) {
+        self.out.offered.send_replace(Rc::new(Catalog::of(&self.site, with_retired)));
+    }
+
     /// Shows how the node stands after a change of what it wants or is told.
     fn stand(&mut self) {
         let wished_away = self.maintenance || self.posture.standby;
@@ -476,6 +505,8 @@
             Wait::Due(id) => self.overdue(id),
             Wait::Lost(id) => self.give_up(id),
             Wait::Key(key, id) => self.kept.expire(&key, id),
+            Wait::Retired(retuned) if retuned == self.retuned => self.offer(false),
+            Wait::Retired(_) => {}
             Wait::Report => {
                 for (oddity, count) in std::mem::take(&mut self.odd) {
                     warn!("{count} {oddity} in the last {} s", REPORT.as_secs());
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! The core of a node: requests, attempts and outcomes. It owns the decision module and carries out every
 //! action of it. Client side and server side are tasks of their own that meet only here.
 
+mod catalog;
 mod core;
 mod kept;
 mod types;
@@ -14,6 +15,7 @@
 use crate::interface::{RequestId, SettingsError};
 
 pub use self::core::Exchange;
+pub use catalog::Catalog;
 pub use types::{Answer, Ask, Call, Command, Input, Oddity, Posture, Reply, ReplyTo, TryId};
 
 /// Inputs that wait for the exchange before those who give them have to.
@@ -25,6 +27,7 @@
     inputs: mpsc::Sender<Input>,
     next_id: Rc<Cell<u32>>,
     posture: watch::Receiver<Posture>,
+    catalog: watch::Receiver<Rc<Catalog>>,
 }
 
 impl Handle {
@@ -50,6 +53,11 @@
     pub fn posture(&self) -> watch::Receiver<Posture> {
         self.posture.clone()
     }
+
+    /// What requests can name just now.
+    pub fn catalog(&self) -> Rc<Catalog> {
+        self.catalog.borrow().clone()
+    }
 }
 
 /// The queues from the exchange to the server side.
@@ -73,8 +81,14 @@
     let (to_processor, commands) = mpsc::unbounded_channel();
     let (to_below, calls) = mpsc::unbounded_channel();
     let (shown, posture) = watch::channel(Posture::default());
-    let exchange =
-        Exchange::new(seed, site, memory_bytes, from_sides, core::Outputs { to_processor, to_below, shown })?;
-    let handle = Handle { inputs, next_id: Rc::new(Cell::new(1)), posture };
+    let (offered, catalog) = watch::channel(Rc::new(Catalog::of(site, false)));
+    let exchange = Exchange::new(
+        seed,
+        site,
+        memory_bytes,
+        from_sides,
+        core::Outputs { to_processor, to_below, shown, offered },
+    )?;
+    let handle = Handle { inputs, next_id: Rc::new(Cell::new(1)), posture, catalog };
     Ok((exchange, handle, Servers { commands, calls }))
 }
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 
+use crate::config::Site;
 use crate::interface::{Outcome, RequestId};
 
 /// The name of one try of a request, as its caller and the processor know it: 16 hexadecimal digits.
@@ -231,6 +232,8 @@
     },
     /// Something has gone wrong with a request that the exchange does not see itself.
     Odd(Oddity),
+    /// New settings are in force.
+    Retune(Box<Site>),
     /// Whether the operator wants no traffic sent here, as the store has it.
     Maintenance(bool),
     /// The same, as told at the operators' door.
--- a/src/front/fields.rs
+++ b/src/front/fields.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::Shared;
-use crate::exchange::{Ask, TryId};
+use crate::exchange::{Ask, Catalog, TryId};
 
 /// The longest key of an operation.
 const KEY_BYTES: usize = 64;
@@ -57,7 +57,8 @@
 impl Fields<'_> {
     /// The request in the core's terms. One without a name gets a name.
     pub fn ask(&self, class: &str, shared: &Shared, body: Bytes) -> Result<Ask, Unfit> {
-        let class = *shared.classes.get(class).ok_or(Unfit::Class)?;
+        let catalog = shared.exchange.catalog();
+        let class = *catalog.classes.get(class).ok_or(Unfit::Class)?;
         // Neither is made use of; yet what is out of its range is no request of a front end.
         self.via.map_or(Ok(0), str::parse::<u32>).map_err(|_| Unfit::Figure)?;
         figure(self.level, |level| (0.0..1.0).contains(&level))?;
@@ -70,8 +71,8 @@
                 .map_or_else(|| Some(TryId::random()), |req| TryId::parse(req.as_bytes()))
                 .ok_or(Unfit::Try)?,
             class,
-            tenant: self.tenant(shared)?,
-            op_key: self.key(shared.keyed[class])?,
+            tenant: self.tenant(&catalog)?,
+            op_key: self.key(catalog.keyed[class])?,
             subject: self.subject()?,
             further: self.further()?,
             hint_ms: figure(self.work_ms, |ms| (0.0..=WORK_MS).contains(&ms))?,
@@ -82,9 +83,11 @@
         })
     }
 
-    fn tenant(&self, shared: &Shared) -> Result<usize, Unfit> {
+    fn tenant(&self, catalog: &Catalog) -> Result<usize, Unfit> {
         match self.owner {
-            Some(name) if !shared.tenants.is_empty() => shared.tenants.get(name).copied().ok_or(Unfit::Owner),
+            Some(name) if !catalog.tenants.is_empty() => {
+                catalog.tenants.get(name).copied().ok_or(Unfit::Owner)
+            }
             _ => Ok(0),
         }
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,7 +6,6 @@
 pub mod resp;
 pub mod table;
 
-use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +15,6 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::config::Site;
 use crate::exchange::{Handle, Input, Oddity};
 use table::{Room, Seat, Table};
 
@@ -39,33 +37,19 @@
 pub struct Shared {
     /// The exchange.
     pub exchange: Handle,
-    /// Places of the classes by name.
-    pub classes: HashMap<String, usize>,
-    /// Places of the tenants by name.
-    pub tenants: HashMap<String, usize>,
-    /// Whether classes carry keys, by place.
-    pub keyed: Vec<bool>,
-    /// How long a connection may rest; absent where it may for good.
-    pub idle: Option<Duration>,
     /// Cancelled when connections are to be given back.
     pub closing: CancellationToken,
 }
 
 impl Shared {
-    /// What fronts need of a site.
-    pub fn new(site: &Site, exchange: Handle, closing: CancellationToken) -> Rc<Self> {
-        let places = |names: &[String]| names.iter().cloned().enumerate().map(|(i, n)| (n, i)).collect();
-        let keyed = site.settings.classes.iter().map(|class| class.effect == crate::interface::Effect::Keyed);
-        Rc::new(Self {
-            exchange,
-            classes: places(&site.classes),
-            tenants: places(&site.tenants),
-            keyed: keyed.collect(),
-            idle: Some(site.settings.idle_ms)
-                .filter(|ms| *ms > 0.0)
-                .map(|ms| Duration::from_secs_f64(ms / 1000.0) + IDLE_MARGIN),
-            closing,
-        })
+    /// What fronts need beside the exchange.
+    pub fn new(exchange: Handle, closing: CancellationToken) -> Rc<Self> {
+        Rc::new(Self { exchange, closing })
+    }
+
+    /// How long a connection may rest; absent where it may for good.
+    fn idle(&self) -> Option<Duration> {
+        self.exchange.catalog().idle.map(|idle| idle + IDLE_MARGIN)
     }
 }
 
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -114,7 +114,7 @@
         let mut last = Instant::now();
         loop {
             let idle_ms = posture.borrow_and_update().idle_ms;
-            let idle = idle_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0)).or(self.shared.idle);
+            let idle = idle_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0)).or_else(|| self.shared.idle());
             tokio::select! {
                 biased;
                 ready = self.from.readable() => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,8 @@
     pub calls: bool,
     /// Part of the worth that is kept when a call is left out; 0 where none may be left out.
     pub skip_worth: f64,
+    /// Whether it has been dropped: it stays for its open requests, and nothing is measured by it any more.
+    pub retired: bool,
 }
 
 /// One customer (tenant) and its share.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -231,6 +231,12 @@
 }
 
 impl RunTimes {
+    fn guess(class: &Class) -> Self {
+        let slot = FIRST_GUESS * class.aim_ms;
+        let parked = Average::guess(if class.calls { slot } else { 0.0 });
+        Self { slot: Average::guess(slot), parked, hint: Average::default() }
+    }
+
     /// Expected time in a slot; a rough hint moves it half of the way.
     fn expect(&self, hint: Option<f64>) -> f64 {
         let told = hint.filter(|_| self.hint.value > 0.0).map_or(1.0, |hint| hint / self.hint.value);
@@ -465,11 +471,6 @@
     pub fn new(seed: u64, settings: Settings) -> Result<Self, SettingsError> {
         check(&settings)?;
         let cores = f64::from(settings.cores.max(1));
-        let guess = |class: &Class| {
-            let slot = FIRST_GUESS * class.aim_ms;
-            let parked = Average::guess(if class.calls { slot } else { 0.0 });
-            RunTimes { slot: Average::guess(slot), parked, hint: Average::default() }
-        };
         let mut budget = CallBudget { below: settings.below, limit: f64::INFINITY, ..CallBudget::default() };
         if matches!(settings.below, Below::Shared { .. }) {
             budget.limit = budget.most();
@@ -490,7 +491,7 @@
             limit: RunLimit { cores, limit: cores, ..RunLimit::default() },
             budget,
             ledger: Ledger { limit_kb: settings.memory_kb, key_kb: settings.key_kb, ..Ledger::default() },
-            times: settings.classes.iter().map(guess).collect(),
+            times: settings.classes.iter().map(RunTimes::guess).collect(),
             patience: Patience([0.0; PATIENCE_PARTS]),
             tenant_counts: vec![Average::default(); settings.tenants.len()],
             refused: Average::default(),
@@ -504,6 +505,30 @@
         })
     }
 
+    /// Works on under other settings, with all that was learned. Classes and tenants keep their places: some
+    /// may be retired, and further ones stand behind them.
+    ///
+    /// # Errors
+    /// Names the first field that makes no sense, or the list that lacks a place; the old ones stay in force.
+    pub fn retune(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        check(&settings)?;
+        if settings.classes.len() < self.times.len() {
+            return Err(SettingsError { field: "classes", problem: "a place is gone" });
+        }
+        let known = self.times.len();
+        self.times.extend(settings.classes[known..].iter().map(RunTimes::guess));
+        self.refused_of.resize(settings.classes.len(), Average::default());
+        self.tenant_counts.resize(settings.tenants.len(), Average::default());
+        self.limit.cores = f64::from(settings.cores.max(1));
+        (self.ledger.limit_kb, self.ledger.key_kb) = (settings.memory_kb, settings.key_kb);
+        if self.budget.below != settings.below {
+            self.budget.below = settings.below;
+            self.budget.limit = self.budget.most();
+        }
+        self.set = settings;
+        Ok(())
+    }
+
     /// The dimmer Q: the chance that a request makes its optional calls.
     pub fn dimmer(&self) -> f64 {
         self.dimmer.q
@@ -592,7 +617,8 @@
         };
         let hint = request.hint_ms.filter(|hint| hint.is_finite() && *hint > 0.0);
         let (class, kb, must_call) = (request.class, sane(request.held_kb), class.calls && !optional);
-        let best = (0..self.times.len()).map(|class| self.density(class)).fold(0.0, f64::max);
+        let best = (0..self.times.len()).filter(|class| !self.set.classes[*class].retired);
+        let best = best.map(|class| self.density(class)).fold(0.0, f64::max);
         // Guards the class that bears most of the refusals, as the worst served counts, unless they are tried
         // again; harms the worthier ones.
         let lost = 1.0 - (self.further.value / WALK_FURTHER).min(1.0);
@@ -685,7 +711,8 @@
     /// Work held unread is work held. Guards against a flood read after its callers have left: retry storms,
     /// surges, slow or cold cores. Harms where a pause alone made requests wait.
     fn reading_lags(&self, part: f64) -> bool {
-        let aim = self.set.classes.iter().map(|class| class.aim_ms).fold(f64::INFINITY, f64::min);
+        let classes = self.set.classes.iter().filter(|class| !class.retired);
+        let aim = classes.map(|class| class.aim_ms).fold(f64::INFINITY, f64::min);
         self.unread_ms() > part * aim
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -61,21 +61,20 @@
     let (exchange, handle, servers) = exchange::new(config.seed, &config.site, config.memory_bytes)?;
     spawn_local(exchange.run());
     let (reached, peers) = watch::channel(config.peers);
-    let link =
-        processor::Link::new(peers.clone(), config.site.classes.clone(), handle.clone(), servers.commands);
+    let link = processor::Link::new(peers.clone(), handle.clone(), servers.commands);
     spawn_local(link.keep());
     let records = records::Records::new(peers.clone(), handle.clone(), config.sockets / 4);
     spawn_local(records.serve(servers.calls));
     spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
     let (publish, published) = watch::channel(config.published()?);
     let contents = store::start(&config.name, config.operator.store.clone(), published)?;
-    spawn_local(follow_file(hangup, reached, publish));
+    spawn_local(follow_file(hangup, config.clone(), handle.clone(), reached, publish));
     spawn_local(follow_operator(format!("state/{}/maintenance", config.name), contents, handle.clone()));
     if let Some(admin) = config.admin {
         admit_operators(&config, admin, handle.clone()).await?;
     }
     let closing = CancellationToken::new();
-    let shared = Shared::new(&config.site, handle.clone(), closing.clone());
+    let shared = Shared::new(handle.clone(), closing.clone());
     let fronts = fronts(&config, listener, shared).await?;
     tokio::select! {
         _ = terminate.recv() => {}
@@ -89,22 +88,33 @@
 async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> io::Result<()> {
     let listener = TcpListener::bind(admin).await?;
     info!("{} listens for operators on {}", config.name, listener.local_addr()?);
-    let shared = Shared::new(&config.site, exchange, CancellationToken::new());
+    let shared = Shared::new(exchange, CancellationToken::new());
     let of_all = shared.clone();
     let connection = move |stream, seat| front::admin::connection(stream, of_all.clone(), seat);
     spawn_local(front::serve(listener, front::admin::ROOM, shared, connection));
     Ok(())
 }
 
-/// Reads the configuration anew at each SIGHUP and, where it is good, turns to the addresses that it tells. All
-/// else in it counts from the next start.
-async fn follow_file(mut hangup: Signal, reached: watch::Sender<Peers>, publish: watch::Sender<String>) {
+/// Reads the configuration anew at each SIGHUP and, where all of it is good, turns to the addresses and settings
+/// that it tells. All else in it counts from the next start.
+async fn follow_file(
+    mut hangup: Signal,
+    mut config: Config,
+    exchange: Handle,
+    reached: watch::Sender<Peers>,
+    publish: watch::Sender<String>,
+) {
     while hangup.recv().await.is_some() {
-        match Config::from_env().map_err(NodeError::from).and_then(|new| Ok((new.peers, new.published()?))) {
-            Ok((peers, configuration)) => {
-                info!("the configuration is read anew; the processor is at {}", peers.processor);
-                reached.send_replace(peers);
-                publish.send_replace(configuration);
+        match config.renewed().map_err(NodeError::from).and_then(|new| Ok((new.published()?, new))) {
+            Ok((published, new)) => {
+                let (processor, classes) = (new.peers.processor, new.site.classes.join(", "));
+                info!(
+                    "the configuration is read anew; the processor is at {processor}, the classes are {classes}"
+                );
+                exchange.tell(Input::Retune(Box::new(new.site.clone()))).await;
+                reached.send_replace(new.peers);
+                publish.send_replace(published);
+                config = new;
             }
             Err(problem) => warn!("the configuration stays as it was: {problem}"),
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -34,6 +34,28 @@
     assert!((0.005..0.15).contains(&fall), "one clamped step of 0.1 / gain * -0.5: {fall}");
 }
 
+#[test]
+fn other_settings_come_into_force_and_what_was_learned_stays() {
+    let mut script = Script::new(settings());
+    for id in 1..40 {
+        run_through(&mut script, id, PLAIN, 900.0);
+    }
+    script.submit(50, PLAIN);
+    let added = Class { aim_ms: 500.0, deadline_ms: 800.0, worth: 9.0, ..Class::default() };
+    let mut other = settings();
+    other.classes[SAFE].retired = true;
+    other.classes.push(added);
+    script.controller.retune(other.clone()).expect("settings make sense");
+    assert!(ran(&script.submit(51, 3), 51), "the class that was added runs");
+    other.classes.truncate(2);
+    assert!(script.controller.retune(other).is_err(), "open requests would lose their class");
+    // Two run and one is held: by what was learned, a run takes too long for another to wait for it.
+    script.submit(52, PLAIN);
+    assert!(refused(&script.submit(53, PLAIN), 53));
+    script.done(100.0, 50);
+    assert!(failed(&script.idle(800.0, 1.7), 51), "its own deadline holds for it");
+}
+
 #[test]
 fn the_dimmer_is_clamped_and_recovers_after_a_stall() {
     let mut script = Script::new(Settings { below: Below::Tier, ..settings() });
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -223,6 +223,17 @@
         self.signal("-HUP");
     }
 
+    /// The configuration in force, but for the settings.
+    pub fn retuned(&self, settings: Value) -> Value {
+        let mut config = self.config.clone();
+        config["settings"] = settings;
+        config
+    }
+
+    pub fn retune(&self, settings: Value) {
+        self.reconfigure(&self.retuned(settings).to_string());
+    }
+
     /// Moves every stand-in to a new address. The processor and its numbers stay; the old link is left open.
     pub fn move_peers(&mut self) {
         (self.processor.port, self.processor.links) = accept();
--- a/tests/support/resp.rs
+++ b/tests/support/resp.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use super::{PATIENCE, unix_ms};
 
@@ -64,6 +65,14 @@
         Answer { tag: text(&words[0]), word: text(&words[1]), fields: text(&words[2]), body: words.remove(3) }
     }
 
+    /// The next answer where one begins by then.
+    pub fn try_answer_within_ms(&mut self, ms: u64) -> Option<Answer> {
+        self.stream.set_read_timeout(Some(Duration::from_millis(ms))).expect("a timeout");
+        let begins = !self.reader.buffer().is_empty() || self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        begins.then(|| self.answer())
+    }
+
     pub fn words(&mut self) -> Vec<Vec<u8>> {
         let count: usize = self.line()[1..].parse().expect("a number of words");
         (0..count).map(|_| self.bulk()).collect()
