Hand over from one process to the next: keys, results and the turn to serve

In the logs both processes served at once: the old one reported NotReady (SIGTERM was taken for a drain) while the new one reported Ready, so the list flapped twice a second, front ends left the node, and a try could meet a process that did not know the key of its earlier one. At fault: node.rs went straight to drain() on SIGTERM and began to accept and report as soon as it started. Ruled out: the door (6 of 6 ready within 0.1 s), the listening socket (0 requests ended at it).

Now: the new process waits at a Unix socket in TMPDIR; SIGTERM makes the old one give its connections back, hand over keys and results, and finish. exchange/succession.rs enters the other's keys as in hand, so tries here wait for or repeat them; what was never told the end of is failed, never run. Rejected: both serving from the same table over the socket - a round trip before each keyed run and a vote on who owns a key; and passing open connections by descriptor - runs are told of only where they were begun. Bodies are shortened with a seeded FNV-1a instead of RandomState, whose keys cannot be handed on.

--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -5,12 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use log::{Level, debug, info, log, warn};
 use serde::de::Error as _;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -57,12 +55,12 @@
     Begin {
         id: &'a str,
         class: &'a str,
-        #[serde(serialize_with = "to_base64")]
+        #[serde(serialize_with = "crate::base64::serialize")]
         body: &'a Bytes,
     },
     Answer {
         id: &'a str,
-        #[serde(serialize_with = "to_base64")]
+        #[serde(serialize_with = "crate::base64::serialize")]
         body: &'a Bytes,
     },
     Without {
@@ -74,10 +72,6 @@
     },
 }
 
-fn to_base64<S: Serializer>(body: &&Bytes, to: S) -> Result<S::Ok, S::Error> {
-    to.serialize_str(&STANDARD.encode(body))
-}
-
 /// A notice as it stands on its line.
 #[derive(Debug, Deserialize)]
 #[serde(tag = "op", rename_all = "lowercase")]
@@ -93,14 +87,14 @@
         end: End,
         #[serde(default)]
         ms: f64,
-        #[serde(default, deserialize_with = "from_base64")]
+        #[serde(default, deserialize_with = "crate::base64::deserialize")]
         body: Bytes,
     },
     Ask {
         seq: u64,
         #[serde(deserialize_with = "try_id")]
         id: TryId,
-        #[serde(default, deserialize_with = "from_base64")]
+        #[serde(default, deserialize_with = "crate::base64::deserialize")]
         body: Bytes,
     },
     Used {
@@ -134,11 +128,6 @@
     TryId::parse(text.as_bytes()).ok_or_else(|| D::Error::custom("an id that is not 16 digits"))
 }
 
-fn from_base64<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
-    let text = Option::<String>::deserialize(from)?.unwrap_or_default();
-    STANDARD.decode(text).map(Bytes::from).map_err(D::Error::custom)
-}
-
 fn line<'a>(input: &mut Partial<&'a [u8]>) -> ModalResult<&'a [u8]> {
     terminated(take_till(0.., b'\n'), b'\n').parse_next(input)
 }
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -1,5 +1,6 @@
 //! Takes what has happened in batches, asks the decision module, and does as it says.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -12,10 +13,13 @@
 use tokio_util::time::{DelayQueue, delay_queue};
 
 use super::catalog::Catalog;
+use super::handed::Handed;
 use super::kept::{Kept, Key, State};
 use super::types::{Answer, Ask, Call, Command, Input, Oddity, Posture, ReplyTo, TryId};
 use crate::config::{Site, gauges};
-use crate::interface::{Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, SettingsError};
+use crate::interface::{
+    Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, Settings, SettingsError,
+};
 use crate::logic::Controller;
 
 /// Inputs taken into one batch at the most, so that timers have their turn in a flood.
@@ -50,7 +54,7 @@
 }
 
 /// A clock in ms that starts at Unix time and never runs backwards.
-struct Clock {
+pub(super) struct Clock {
     start_ms: f64,
     start: Instant,
 }
@@ -61,13 +65,13 @@
         Self { start_ms: unix.as_secs_f64() * 1000.0, start: Instant::now() }
     }
 
-    fn now(&self) -> f64 {
+    pub(super) fn now(&self) -> f64 {
         self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
     }
 }
 
 /// One wait of the exchange.
-enum Wait {
+pub(super) enum Wait {
     /// The decision module asked to be woken.
     Wake,
     /// Gauges are late.
@@ -100,13 +104,13 @@
     placed: Option<(u64, oneshot::Sender<()>)>,
 }
 
-struct Entry {
+pub(super) struct Entry {
     of: TryId,
     class: usize,
     key: Option<Key>,
     /// Its body, in short; the body itself goes with the run.
     digest: u64,
-    arrived: f64,
+    pub(super) arrived: f64,
     body: Bytes,
     /// Gone once the request is answered or given up.
     reply: Option<ReplyTo>,
@@ -123,19 +127,20 @@
 
 /// The meeting point of client side and server side.
 pub struct Exchange {
-    controller: Controller,
+    pub(super) controller: Controller,
     seed: u64,
-    site: Site,
-    clock: Clock,
+    pub(super) site: Site,
+    pub(super) clock: Clock,
+    pub(super) ids: Rc<Cell<u32>>,
     inputs: mpsc::Receiver<Input>,
     out: Outputs,
-    waits: DelayQueue<Wait>,
-    entries: HashMap<RequestId, Entry>,
+    pub(super) waits: DelayQueue<Wait>,
+    pub(super) entries: HashMap<RequestId, Entry>,
     by_try: HashMap<TryId, RequestId>,
-    kept: Kept,
+    pub(super) kept: Kept,
     events: Vec<Event>,
     actions: Vec<Action>,
-    posture: Posture,
+    pub(super) posture: Posture,
     /// How often the settings have changed.
     retuned: u64,
     /// The question for gauges that is out, with its wait until that is over.
@@ -149,7 +154,14 @@
     leaving: bool,
     /// What the decision module says of its health, and what the operator wishes.
     wants_traffic: bool,
-    maintenance: bool,
+    pub(super) maintenance: bool,
+    /// The next process of this node, once it has the keys.
+    pub(super) successor: Option<mpsc::UnboundedSender<Handed>>,
+    /// Memory that the process before has booked, in kB, and the keys that it has in hand.
+    pub(super) elsewhere_kb: f64,
+    pub(super) foreign: HashMap<Key, RequestId>,
+    /// Told when nothing is open any more.
+    finished: Option<oneshot::Sender<()>>,
 }
 
 impl Exchange {
@@ -157,6 +169,7 @@
         seed: u64,
         site: &Site,
         memory_bytes: usize,
+        ids: Rc<Cell<u32>>,
         inputs: mpsc::Receiver<Input>,
         out: Outputs,
     ) -> Result<Self, SettingsError> {
@@ -165,6 +178,7 @@
             seed,
             site: site.clone(),
             clock: Clock::new(),
+            ids,
             inputs,
             out,
             waits: DelayQueue::new(),
@@ -183,6 +197,10 @@
             leaving: false,
             wants_traffic: false,
             maintenance: false,
+            successor: None,
+            elsewhere_kb: 0.0,
+            foreign: HashMap::new(),
+            finished: None,
         })
     }
 
@@ -212,6 +230,10 @@
             let events = std::mem::take(&mut self.events);
             self.ask_controller(self.clock.now(), &events);
         }
+        if let Some(finished) = self.finished.take_if(|_| self.entries.is_empty()) {
+            self.successor = None;
+            let _ = finished.send(());
+        }
         if *self.out.shown.borrow() != self.posture {
             self.out.shown.send_replace(self.posture.clone());
         }
@@ -241,6 +263,10 @@
                 }
             }
             Input::Odd(oddity) => self.count(oddity),
+            Input::HandOver(successor) => self.hand_over(successor),
+            Input::Handed(handed) => self.take_over(handed),
+            Input::Alone => self.alone(),
+            Input::Finish(finished) => self.finished = Some(finished),
             Input::Retune(site) => self.retune(*site),
             Input::Maintenance(wished) => {
                 self.maintenance = wished;
@@ -271,6 +297,7 @@
             return warn!("the settings stay as they were: {problem}");
         }
         self.site = site;
+        self.share_memory();
         self.retuned += 1;
         self.offer(true);
         self.waits.insert(Wait::Retired(self.retuned), RETIRES);
@@ -281,10 +308,10 @@
     }
 
     /// Shows how the node stands after a change of what it wants or is told.
-    fn stand(&mut self) {
+    pub(super) fn stand(&mut self) {
         let wished_away = self.maintenance || self.posture.standby;
         self.posture.healthy = self.wants_traffic && !wished_away;
-        self.posture.ready = self.up && !self.leaving && !wished_away;
+        self.posture.ready = self.up && !self.leaving && self.successor.is_none() && !wished_away;
     }
 
     /// Starts the decision module with the processor, whose age tells how far it has warmed.
@@ -298,6 +325,7 @@
         if let Ok(controller) = Controller::new(self.seed, settings) {
             self.controller = controller;
         }
+        self.share_memory();
         self.ask_controller(self.clock.now() - age_ms.max(0.0), &[]);
     }
 
@@ -331,6 +359,11 @@
             return self.note(Oddity::TableFull, ask.of);
         }
         let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived));
+        if self.successor.is_some() && earlier.is_none() && key.as_ref().is_some_and(Key::is_operation) {
+            // Guards against a second run: the next process may have begun one. A refusal would deny that.
+            reply.send(Answer::Failed, self.posture.level);
+            return self.note(Oddity::Handed, ask.of);
+        }
         if let Some(key) = &key
             && (earlier.is_none() || matches!(key, Key::Operation(..)))
         {
@@ -402,6 +435,7 @@
         self.forget_try(entry.of, id);
         if let Some(key) = entry.key.filter(|_| matches!(entry.phase, Phase::Held)) {
             let waiting = self.kept.release(&key, id);
+            self.hand_on(&key);
             self.pass_on(waiting, &State::Failed);
         }
     }
@@ -425,7 +459,7 @@
     }
 
     /// Answers those that waited for the end of another try, and tells the decision module.
-    fn pass_on(&mut self, waiting: Vec<RequestId>, state: &State) {
+    pub(super) fn pass_on(&mut self, waiting: Vec<RequestId>, state: &State) {
         for id in waiting {
             if self.entries.get(&id).is_some_and(|entry| matches!(entry.phase, Phase::Sharing)) {
                 self.share(id, state.clone());
@@ -470,6 +504,7 @@
             // Proof that this try never ran: a later one may.
             self.kept.expire(&key, id);
         }
+        self.hand_on(&key);
         self.pass_on(waiting, &state);
     }
 
@@ -591,9 +626,8 @@
         };
         if let Some(key) = entry.key.clone() {
             let class = &settings.classes[entry.class];
-            let whole = class.window_ms + settings.answer_slack_ms + 2.0 * WIRE_SLACK_MS;
             let keyed = class.effect == Effect::Keyed;
-            let until = if keyed { entry.arrived + whole } else { f64::INFINITY };
+            let until = if keyed { entry.arrived + whole_ms(settings, entry.class) } else { f64::INFINITY };
             if !self.kept.begin(&key, id, entry.arrived, until, entry.digest) {
                 entry.phase = Phase::Sharing;
                 let of = entry.of;
@@ -613,6 +647,11 @@
         let _ = self.out.to_processor.send(Command::Begin { of, class, body });
     }
 
+    /// The end of the window of a run that arrived then.
+    pub(super) fn window_end(&self, class: usize, arrived: f64) -> f64 {
+        arrived + whole_ms(&self.site.settings, class)
+    }
+
     fn refuse(&mut self, id: RequestId, stay_away_ms: f64, last: bool) {
         let Some(entry) = self.entries.get(&id) else { return };
         // Nothing that ran, or shares a run, is ever refused: that would be a promise that it never ran.
@@ -671,3 +710,8 @@
         }
     }
 }
+
+/// How long after its arrival a run has repeats.
+fn whole_ms(settings: &Settings, class: usize) -> f64 {
+    settings.classes[class].window_ms + settings.answer_slack_ms + 2.0 * WIRE_SLACK_MS
+}
--- /dev/null
+++ b/src/exchange/handed.rs
@@ -0,0 +1,54 @@
+//! What one process of a node hands to the next: keys with what has come of them.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// One thing that is handed over. All keys come ahead of the turn; behind it come those whose standing has changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Handed {
+    /// A key, as it stands now.
+    Key(HandedKey),
+    /// From here on the next process serves.
+    Turn(Turn),
+}
+
+/// A key that tries of one request bear.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HandedKey {
+    /// The name of its class.
+    pub class: String,
+    /// The key.
+    pub operation: String,
+    /// The body of its tries, in short.
+    pub digest: u64,
+    /// Requests that arrive later than this, in Unix ms, are no repeats.
+    pub until: f64,
+    /// What has come of it.
+    pub standing: Standing,
+}
+
+/// What has come of a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Held or running over there.
+    Open,
+    /// Over, with this result.
+    Served(#[serde(with = "crate::base64")] Bytes),
+    /// Over, without one.
+    Failed,
+    /// It never ran: it is anyone's again.
+    Free,
+}
+
+/// What the next process needs beside the keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Turn {
+    /// What bodies are shortened with.
+    pub seed: u64,
+    /// Memory that is booked for requests that stay over there, in kB.
+    pub booked_kb: f64,
+    /// Whether the node has been told to send clients away, at the door and in the store.
+    pub standby: bool,
+    /// The same in the store.
+    pub maintenance: bool,
+}
--- a/src/exchange/kept.rs
+++ b/src/exchange/kept.rs
@@ -1,8 +1,6 @@
 //! The table of keys: which try holds a key, whether it ran, and what came of it.
 
 use std::collections::HashMap;
-use std::collections::hash_map::RandomState;
-use std::hash::BuildHasher;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -42,14 +40,17 @@
     Failed,
 }
 
-struct Row {
-    holder: RequestId,
-    state: State,
+/// How a key stands.
+pub struct Row {
+    /// The try that holds it.
+    pub holder: RequestId,
+    /// What has come of that.
+    pub state: State,
     /// Requests that arrive later than this are not repeats of the run, in ms.
-    until: f64,
+    pub until: f64,
     waiting: Vec<RequestId>,
     /// The body of its tries, in short.
-    digest: u64,
+    pub digest: u64,
 }
 
 impl Row {
@@ -69,18 +70,47 @@
     /// What it takes of the memory, and may take.
     bytes: usize,
     most_bytes: usize,
-    hasher: RandomState,
+    /// Secret of this node: nobody outside can make two bodies look alike.
+    seed: u64,
 }
 
 impl Kept {
     /// An empty table that stays under so many bytes.
     pub fn new(most_bytes: usize) -> Self {
-        Self { rows: HashMap::new(), bytes: 0, most_bytes, hasher: RandomState::new() }
+        Self { rows: HashMap::new(), bytes: 0, most_bytes, seed: fastrand::u64(..) }
     }
 
-    /// A body in short.
+    /// A body in short (FNV-1a): the same in the next process of this node, whatever it was built with.
     pub fn digest(&self, body: &[u8]) -> u64 {
-        self.hasher.hash_one(body)
+        body.iter().fold(self.seed, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+    }
+
+    /// What bodies are shortened with.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Shortens bodies as the process before did.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.seed = seed;
+    }
+
+    /// The keys of operations.
+    pub fn operations(&self) -> impl Iterator<Item = &Key> {
+        self.rows.keys().filter(|key| key.is_operation())
+    }
+
+    /// How a key stands.
+    pub fn row(&self, key: &Key) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// Enters a key that another process of this node has in hand. Nothing displaces it within its window.
+    pub fn adopt(&mut self, key: Key, holder: RequestId, until: f64, digest: u64) {
+        let row = Row { holder, state: State::Running, until, waiting: Vec::new(), digest };
+        self.take(&key);
+        self.bytes += row.bytes();
+        self.rows.insert(key, row);
     }
 
     /// Whether a request arriving at `arrived` bears the key of a kept one, yet another body.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -3,7 +3,9 @@
 
 mod catalog;
 mod core;
+mod handed;
 mod kept;
+mod succession;
 mod types;
 
 use std::cell::Cell;
@@ -16,6 +18,7 @@
 
 pub use self::core::Exchange;
 pub use catalog::Catalog;
+pub use handed::{Handed, HandedKey, Standing, Turn};
 pub use types::{Answer, Ask, Call, Command, Input, Oddity, Posture, Reply, ReplyTo, TryId};
 
 /// Inputs that wait for the exchange before those who give them have to.
@@ -33,9 +36,7 @@
 impl Handle {
     /// A number for a further request.
     pub fn new_id(&self) -> RequestId {
-        let id = RequestId(self.next_id.get());
-        self.next_id.set(id.0.wrapping_add(1).max(1));
-        id
+        next(&self.next_id)
     }
 
     /// Hands over a request under its number; its answer goes to `reply`.
@@ -60,6 +61,12 @@
     }
 }
 
+fn next(ids: &Cell<u32>) -> RequestId {
+    let id = RequestId(ids.get());
+    ids.set(id.0.wrapping_add(1).max(1));
+    id
+}
+
 /// The queues from the exchange to the server side.
 pub struct Servers {
     /// To the processor.
@@ -82,13 +89,15 @@
     let (to_below, calls) = mpsc::unbounded_channel();
     let (shown, posture) = watch::channel(Posture::default());
     let (offered, catalog) = watch::channel(Rc::new(Catalog::of(site, false)));
+    let next_id = Rc::new(Cell::new(1));
     let exchange = Exchange::new(
         seed,
         site,
         memory_bytes,
+        next_id.clone(),
         from_sides,
         core::Outputs { to_processor, to_below, shown, offered },
     )?;
-    let handle = Handle { inputs, next_id: Rc::new(Cell::new(1)), posture, catalog };
+    let handle = Handle { inputs, next_id, posture, catalog };
     Ok((exchange, handle, Servers { commands, calls }))
 }
--- /dev/null
+++ b/src/exchange/succession.rs
@@ -0,0 +1,131 @@
+//! One process of a node after the other: the old one hands its keys over and finishes what it has open, the new
+//! one runs nothing that the old one may have run.
+
+use std::time::Duration;
+
+use log::info;
+use tokio::sync::mpsc;
+
+use super::core::{Exchange, Wait};
+use super::handed::{Handed, HandedKey, Standing, Turn};
+use super::kept::{Key, State};
+use super::next;
+use crate::interface::RequestId;
+
+impl Exchange {
+    /// Tells the next process all keys, and that it is to serve from here on.
+    pub(super) fn hand_over(&mut self, successor: mpsc::UnboundedSender<Handed>) {
+        info!("handing over with {} requests open", self.entries.len());
+        self.successor = Some(successor);
+        let keys: Vec<Key> = self.kept.operations().cloned().collect();
+        keys.iter().for_each(|key| self.hand_on(key));
+        self.tell_successor(Handed::Turn(Turn {
+            seed: self.kept.seed(),
+            booked_kb: self.controller.booked_kb(),
+            standby: self.posture.standby,
+            maintenance: self.maintenance,
+        }));
+        self.stand();
+    }
+
+    fn tell_successor(&self, handed: Handed) {
+        if let Some(successor) = &self.successor {
+            // Where it has ended, nobody is left to be told.
+            let _ = successor.send(handed);
+        }
+    }
+
+    /// Tells the next process, where there is one, how a key stands.
+    pub(super) fn hand_on(&self, key: &Key) {
+        let (Some(_), Key::Operation(class, operation)) = (&self.successor, key) else { return };
+        let row = self.kept.row(key);
+        let standing = match row.map(|row| &row.state) {
+            None => Standing::Free,
+            Some(State::Held | State::Running) => Standing::Open,
+            Some(State::Served(result)) => Standing::Served(result.clone()),
+            Some(State::Failed) => Standing::Failed,
+        };
+        let arrived = row.and_then(|row| self.entries.get(&row.holder)).map(|entry| entry.arrived);
+        // One that is held still may begin over here: its window is that of a run.
+        let until =
+            row.map_or(0.0, |row| row.until).min(self.window_end(*class, arrived.unwrap_or(f64::MAX)));
+        self.tell_successor(Handed::Key(HandedKey {
+            class: self.site.classes[*class].clone(),
+            operation: operation.to_string(),
+            digest: row.map_or(0, |row| row.digest),
+            until,
+            standing,
+        }));
+    }
+
+    /// Takes what the process before hands over.
+    pub(super) fn take_over(&mut self, handed: Handed) {
+        match handed {
+            Handed::Key(key) => self.take_key(key),
+            Handed::Turn(turn) => {
+                info!("taking over with {} keys", self.kept.operations().count());
+                self.kept.set_seed(turn.seed);
+                self.elsewhere_kb = turn.booked_kb;
+                self.share_memory();
+                self.posture.standby = turn.standby;
+                self.maintenance = turn.maintenance;
+                self.stand();
+            }
+        }
+    }
+
+    fn take_key(&mut self, handed: HandedKey) {
+        let HandedKey { class, operation, digest, until, standing } = handed;
+        // Where the class is gone nobody can ask for it.
+        let Some(class) = self.site.classes.iter().position(|name| *name == class) else { return };
+        let key = Key::Operation(class, operation.into());
+        let holder = self.foreign.get(&key).copied();
+        if standing == Standing::Free {
+            if let Some(holder) = holder {
+                self.end_foreign(&key, holder, State::Failed);
+                self.kept.expire(&key, holder);
+            }
+            return;
+        }
+        let holder = holder.unwrap_or_else(|| {
+            let holder = next(&self.ids);
+            self.kept.adopt(key.clone(), holder, until, digest);
+            self.foreign.insert(key.clone(), holder);
+            let lasts_ms =
+                (until - self.clock.now()).max(0.0) + self.site.settings.classes[class].deadline_ms;
+            self.waits.insert(Wait::Key(key.clone(), holder), Duration::from_secs_f64(lasts_ms / 1000.0));
+            holder
+        });
+        match standing {
+            Standing::Served(result) => self.end_foreign(&key, holder, State::Served(result)),
+            Standing::Failed => self.end_foreign(&key, holder, State::Failed),
+            Standing::Open | Standing::Free => {}
+        }
+    }
+
+    /// What another process had in hand is over: those that wait for it here are answered.
+    fn end_foreign(&mut self, key: &Key, holder: RequestId, state: State) {
+        self.foreign.remove(key);
+        let waiting = self.kept.end(key, holder, state.clone(), None);
+        self.pass_on(waiting, &state);
+    }
+
+    /// The process before has ended. What it has not told the end of may have run, and has no result.
+    pub(super) fn alone(&mut self) {
+        self.elsewhere_kb = 0.0;
+        self.share_memory();
+        for (key, holder) in std::mem::take(&mut self.foreign) {
+            self.end_foreign(&key, holder, State::Failed);
+        }
+    }
+
+    /// Leaves the decision module the memory that the process before has not booked.
+    pub(super) fn share_memory(&mut self) {
+        let mut settings = self.site.settings.clone();
+        if settings.memory_kb > 0.0 {
+            settings.memory_kb = (settings.memory_kb - self.elsewhere_kb).max(1.0);
+        }
+        // Settings that were accepted with more memory are accepted with less.
+        let _ = self.controller.retune(settings);
+    }
+}
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 
+use super::handed::Handed;
 use crate::config::Site;
 use crate::interface::{Outcome, RequestId};
 
@@ -143,6 +144,8 @@
     Rejected,
     /// Failed, as its name is that of an open request or its key that of another body.
     Taken,
+    /// Failed, as its key came to light only after all keys were handed to the next process.
+    Handed,
     /// A connection that was closed for what came on it.
     Unreadable,
     /// A connection that was closed as nothing whole came on it.
@@ -166,6 +169,7 @@
             Self::Unfit => "requests failed unread",
             Self::Rejected => "requests rejected by the processor",
             Self::Taken => "requests failed for a name or key that is another's",
+            Self::Handed => "requests failed as the next process has all keys",
             Self::Unreadable => "connections closed for what came on them",
             Self::Silent => "connections closed as nothing whole came on them",
             Self::Deaf => "connections closed as their answers were not read",
@@ -232,6 +236,14 @@
     },
     /// Something has gone wrong with a request that the exchange does not see itself.
     Odd(Oddity),
+    /// A further process of this node is ready: it is handed the keys, and told of those that change.
+    HandOver(mpsc::UnboundedSender<Handed>),
+    /// The process before hands this over.
+    Handed(Handed),
+    /// The process before has ended: what it had in hand, and has not told the end of, may have run.
+    Alone,
+    /// Resolves once nothing is open any more and nothing runs.
+    Finish(oneshot::Sender<()>),
     /// New settings are in force.
     Retune(Box<Site>),
     /// Whether the operator wants no traffic sent here, as the store has it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,12 @@
 #![doc = include_str!("../README.md")]
 
 pub mod back;
+mod base64;
 pub mod config;
 pub mod exchange;
+mod frame;
 pub mod front;
+pub mod handover;
 pub mod haproxy;
 pub mod inherit;
 pub mod interface;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -534,6 +534,11 @@
         self.dimmer.q
     }
 
+    /// Memory that is booked for requests, in kB.
+    pub fn booked_kb(&self) -> f64 {
+        self.ledger.requests_kb
+    }
+
     /// Takes all that has happened up to `now` (ms) and appends what is to be done, in order.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
         if now.is_finite() && (self.started_at.is_none() || now > self.now) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::{error, info, warn};
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UnixStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
-use tokio::task::{JoinSet, spawn_local};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -18,12 +18,15 @@
 use crate::config::{Config, ConfigError, Peers};
 use crate::exchange::{self, Handle, Input};
 use crate::front::{self, Shared, ajp, resp};
+use crate::handover::{self, Successor};
 use crate::inherit;
 use crate::interface::SettingsError;
 use crate::store::{self, Contents};
 
 /// How long before its stop a node gives connections back and stops listening.
 const GIVE_BACK: Duration = Duration::from_millis(900);
+/// How long a request may cross the notice that its connection is given back.
+const CROSSES: Duration = Duration::from_millis(60);
 /// How long after its stop a node that was not stopped and whose connections are not given back ends by itself.
 /// Until then it answers what may still be written to it.
 const LAST: Duration = Duration::from_secs(1);
@@ -65,14 +68,25 @@
     spawn_local(link.keep());
     let records = records::Records::new(peers.clone(), handle.clone(), config.sockets / 4);
     spawn_local(records.serve(servers.calls));
-    spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
     let (publish, published) = watch::channel(config.published()?);
-    let contents = store::start(&config.name, config.operator.store.clone(), published)?;
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), reached, publish));
-    spawn_local(follow_operator(format!("state/{}/maintenance", config.name), contents, handle.clone()));
+    let (alone, turn) = succeed(&config, &handle).await;
     if let Some(admin) = config.admin {
         admit_operators(&config, admin, handle.clone()).await?;
     }
+    tokio::select! {
+        _ = turn => {}
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    }
+    let successor = Successor::default();
+    if config.inherited.is_some()
+        && let Err(problem) = successor.listen(&config.name)
+    {
+        warn!("no process can take over from this one: {problem}");
+    }
+    let reports = spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
+    spawn_local(keep_store(alone, config.clone(), published, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(handle.clone(), closing.clone());
     let fronts = fronts(&config, listener, shared).await?;
@@ -80,10 +94,46 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    drain(config.stop, handle, closing, fronts).await;
+    match successor.take() {
+        Some(next) => hand_over(config.stop, handle, closing, fronts, reports, next).await,
+        None => drain(config.stop, handle, closing, fronts).await,
+    }
     Ok(())
 }
 
+/// Finds the process of this node that serves now. The first to resolve is this one's turn; the other one resolves
+/// when it is alone.
+async fn succeed(config: &Config, exchange: &Handle) -> (JoinHandle<()>, oneshot::Receiver<()>) {
+    let (begin, turn) = oneshot::channel();
+    let before = match config.inherited {
+        Some(_) => handover::predecessor(&config.name).await,
+        None => None,
+    };
+    let alone = match before {
+        Some(before) => {
+            info!("another process of {} serves still", config.name);
+            spawn_local(handover::take_over(before, exchange.clone(), begin))
+        }
+        None => spawn_local(async {}),
+    };
+    (alone, turn)
+}
+
+/// Runs the store, which no two processes can have open, and follows what the operator keeps there.
+async fn keep_store(
+    alone: JoinHandle<()>,
+    config: Config,
+    published: watch::Receiver<String>,
+    exchange: Handle,
+) {
+    let _ = alone.await;
+    let Config { name, operator, .. } = config;
+    match store::start(&name, operator.store, published) {
+        Ok(contents) => follow_operator(format!("state/{name}/maintenance"), contents, exchange).await,
+        Err(problem) => error!("the store cannot run: {problem}"),
+    }
+}
+
 /// Opens the operators' door, which stays open to the end.
 async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> io::Result<()> {
     let listener = TcpListener::bind(admin).await?;
@@ -158,6 +208,35 @@
     Ok(fronts)
 }
 
+/// Leaves to the next process: gives the connections back at once, hands the keys over, and ends when all that it
+/// has read is answered and nothing runs any more.
+async fn hand_over(
+    stop: Duration,
+    exchange: Handle,
+    closing: CancellationToken,
+    fronts: JoinSet<()>,
+    reports: JoinHandle<()>,
+    next: UnixStream,
+) {
+    let told = Instant::now();
+    closing.cancel();
+    // What crosses the notice is still this process's, with its key.
+    tokio::time::sleep(CROSSES).await;
+    reports.abort();
+    let (to_next, handed) = mpsc::unbounded_channel();
+    let (finish, finished) = oneshot::channel();
+    exchange.tell(Input::HandOver(to_next)).await;
+    let telling = spawn_local(handover::tell(next, handed));
+    let left = async {
+        fronts.join_all().await;
+        exchange.tell(Input::Finish(finish)).await;
+        let _ = finished.await;
+        let _ = telling.await;
+    };
+    let left = tokio::time::timeout_at(told + stop + LAST, left).await;
+    info!("ended {}", if left.is_ok() { "with everything handed over" } else { "with requests open" });
+}
+
 /// Leaves: tells the exchange, serves on, gives the connections back in good time, and ends when all are gone.
 async fn drain(stop: Duration, exchange: Handle, closing: CancellationToken, fronts: JoinSet<()>) {
     let told = Instant::now();
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -1,9 +1,8 @@
-//! The thin transport between members: one JSON message to a frame that begins with its length.
+//! The thin transport between members: one message to a frame.
 
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
 use log::{debug, warn};
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
@@ -14,15 +13,15 @@
 use openraft::{AnyError, BasicNode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::frame::{receive, send};
+
 use super::{Answer, Member, Query, Types};
 
-/// The longest frame, and connections served at once.
-const FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Connections served at once.
 const CONNECTIONS: usize = 64;
 /// How long a member that is asked has for its answer.
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -41,27 +40,6 @@
     Asked(Query),
 }
 
-async fn send<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
-    let body = serde_json::to_vec(message)?;
-    let length = u32::try_from(body.len()).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
-    stream.write_all(&[&length.to_be_bytes()[..], &body].concat()).await
-}
-
-/// The next message; `None` where the other side has ended the connection between two.
-async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<Option<T>> {
-    let length = match stream.read_u32().await {
-        Ok(length) => length as usize,
-        Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
-        Err(e) => return Err(e),
-    };
-    if length > FRAME_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame that is too long"));
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await?;
-    Ok(Some(serde_json::from_slice(&Bytes::from(body))?))
-}
-
 async fn exchange<T: DeserializeOwned>(stream: &mut TcpStream, message: &Message) -> io::Result<T> {
     send(stream, message).await?;
     receive(stream).await?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,154 @@
+//! One process of a node after the other, on a socket that the platform holds: both count as one node.
+
+mod support;
+
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::resp::FrontEnd;
+use support::{Node, settings, try_id};
+
+fn held() -> (Node, FrontEnd) {
+    let mut node = Node::launch_held(settings());
+    node.processor.greet("warm");
+    node.reported("Ready");
+    let front = FrontEnd::connect(&node.resp);
+    (node, front)
+}
+
+/// A further process that is ready and waits for its turn.
+fn waiting(old: &mut Node) -> Node {
+    let mut new = old.successor();
+    new.processor.greet("warm");
+    new.logged("the processor is up");
+    old.logged("the next process is there");
+    assert_eq!(new.call("GET", "/status"), 200);
+    new
+}
+
+fn pay(front: &mut FrontEnd, tag: u64, key: &str) {
+    front.ask(tag, "pay-session", &try_id(tag), &format!(",opkey={key}"), b"body");
+}
+
+#[rstest]
+fn the_next_process_takes_over_with_all_keys_and_nothing_runs_twice() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "done");
+    assert_eq!(old.processor.begun(), try_id(1));
+    old.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+    for (tag, key) in [(2, "running"), (3, "void")] {
+        pay(&mut front, tag, key);
+        assert_eq!(old.processor.begun(), try_id(tag));
+    }
+    // Two cores are taken: this one is held at first.
+    pay(&mut front, 4, "failing");
+    let mut new = waiting(&mut old);
+    assert_eq!(front.answer_to_status().word, "healthy", "the old one serves until it is told to go");
+    old.terminate();
+    new.reported("Ready");
+    let mut next = FrontEnd::connect(&new.resp);
+    for (tag, key) in [(11, "done"), (12, "running"), (13, "void"), (14, "failing")] {
+        pay(&mut next, tag, key);
+    }
+    assert_eq!(next.answer().body, b"first", "a result of the process before");
+    old.processor.complete(&try_id(2), b"second");
+    old.processor.end(&try_id(3), "void");
+    assert_eq!(old.processor.begun(), try_id(4), "what the old one held it runs itself");
+    old.processor.end(&try_id(4), "failed");
+    let mut served = [front.answer(), front.answer(), front.answer()].map(|a| (a.tag, a.word, a.body));
+    served.sort();
+    assert_eq!(served[0], ("2".into(), "done".into(), b"second".to_vec()));
+    assert!(front.closing, "connections are given back at once");
+    let mut shared = [next.answer(), next.answer(), next.answer()].map(|a| (a.tag, a.word, a.body));
+    shared.sort();
+    assert_eq!(shared[0], ("12".into(), "done".into(), b"second".to_vec()));
+    assert!(shared[1..].iter().all(|(_, word, _)| word == "error"), "{shared:?}");
+    pay(&mut next, 15, "void");
+    assert_eq!(new.processor.begun(), try_id(15), "a try that never ran leaves its key to others");
+    new.processor.complete(&try_id(15), b"fifth");
+    assert_eq!(next.answer().body, b"fifth");
+    pay(&mut next, 16, "new");
+    assert_eq!(new.processor.begun(), try_id(16));
+    new.processor.complete(&try_id(16), b"sixth");
+    assert_eq!(next.answer().body, b"sixth");
+    drop(front);
+    assert!(old.ended().success());
+    new.logged("the process before has ended");
+    new.logged("the configuration is kept");
+    assert_eq!(new.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn a_key_that_the_old_process_never_told_the_end_of_is_failed_not_run() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "running");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.reported("Ready");
+    let mut next = FrontEnd::connect(&new.resp);
+    pay(&mut next, 2, "running");
+    old.kill();
+    assert_eq!(next.answer().word, "error");
+    pay(&mut next, 3, "running");
+    assert_eq!(next.answer().word, "error");
+    assert_eq!(new.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn a_process_that_ends_without_a_word_is_followed_at_once() {
+    let (mut old, _) = held();
+    let mut new = waiting(&mut old);
+    old.kill();
+    new.reported("Ready");
+    assert_eq!(FrontEnd::connect(&new.resp).answer_to_status().word, "healthy");
+}
+
+#[rstest]
+fn a_next_process_that_has_ended_is_no_reason_to_hand_over() {
+    let (mut old, mut front) = held();
+    waiting(&mut old).kill();
+    old.terminate();
+    old.logged("draining");
+    old.reported("NotReady");
+    assert_eq!(front.answer_to_status().word, "sick");
+}
+
+#[rstest]
+fn connections_that_come_during_a_handover_are_all_served() {
+    let (mut old, _) = held();
+    old.processor.automatic();
+    let new = waiting(&mut old);
+    new.processor.automatic();
+    let address = new.resp.clone();
+    let (stop, stopped) = channel::<()>();
+    let asking = std::thread::spawn(move || {
+        let mut tag = 0;
+        while stopped.try_recv().is_err() {
+            tag += 1;
+            let mut front = FrontEnd::connect(&address);
+            front.ask(tag, "plate-check", &try_id(tag), "", b"body");
+            assert_eq!(front.answer().word, "done");
+        }
+        tag
+    });
+    old.terminate();
+    assert!(old.ended().success());
+    std::thread::sleep(Duration::from_millis(100));
+    stop.send(()).expect("it asks still");
+    assert!(asking.join().expect("every answer is whole") > 1);
+}
+
+#[rstest]
+fn a_node_on_standby_stays_so_in_its_next_process() {
+    let (mut old, _) = held();
+    assert_eq!(old.call("POST", "/standby"), 200);
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.logged("taking over");
+    assert_eq!(FrontEnd::connect(&new.resp).answer_to_status().word, "sick");
+    assert_eq!(new.call("POST", "/active"), 200);
+    new.reported("Ready");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -79,6 +79,7 @@
     log: Receiver<String>,
     seen: Vec<String>,
     dir: Arc<Dir>,
+    file: PathBuf,
     config: Value,
     /// The clients' socket, where the platform holds it.
     held: Option<TcpListener>,
@@ -141,7 +142,8 @@
         let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
         control.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         name_peers(&mut config, &processor, &records, &control);
-        std::fs::write(dir.0.join("config.json"), config.to_string()).expect("a file");
+        let file = dir.0.join(format!("config-{}.json", processor.port));
+        std::fs::write(&file, config.to_string()).expect("a file");
         let mut command = match &held {
             None => Command::new(PROGRAM),
             Some(socket) => {
@@ -153,7 +155,7 @@
             }
         };
         let mut child = command
-            .env("PROXY_CONFIG", dir.0.join("config.json"))
+            .env("PROXY_CONFIG", &file)
             .env("SILLFLOW_OPERATOR", dir.0.join("operator.toml"))
             .env("TMPDIR", &dir.0)
             .env_remove("PROXY_NAME")
@@ -166,7 +168,7 @@
         let (resp, ajp, admin) = (String::new(), String::new(), String::new());
         let seen = Vec::new();
         let mut node =
-            Self { child, log, seen, dir, config, held, resp, ajp, admin, processor, records, control };
+            Self { child, log, seen, dir, file, config, held, resp, ajp, admin, processor, records, control };
         node.resp = node.address("listens on");
         node.admin = node.address("listens for operators on");
         if node.held.is_none() {
@@ -175,6 +177,12 @@
         node
     }
 
+    /// Starts a further process of this node beside this one, with a processor's address of its own.
+    pub fn successor(&self) -> Self {
+        let held = self.held.as_ref().map(|held| held.try_clone().expect("a handle"));
+        Self::spawn(self.config.clone(), self.dir.clone(), held)
+    }
+
     /// The address at the end of a line of the log.
     fn address(&mut self, part: &str) -> String {
         self.logged(part).rsplit(' ').next().unwrap_or_default().to_owned()
@@ -219,7 +227,7 @@
 
     /// Puts this text in the place of the configuration and tells the node.
     pub fn reconfigure(&self, text: &str) {
-        std::fs::write(self.dir.0.join("config.json"), text).expect("a file");
+        std::fs::write(&self.file, text).expect("a file");
         self.signal("-HUP");
     }
 
