Keep two processes of a node within the descriptors of one while they change over

At fault: front/mod.rs let each process fill five eighths of the limit, and connections that rest were closed 2 s after the notice only, so for 2 s both tables stood full. Now: at the notice the old process keeps a quarter of its room for callers at rest, the longest quiet leaving first; the new one has half of its room until it is alone. Rejected: closing all that rest at once - a front end whose request crosses a pause of the machine would lose it. The test holds 158 descriptors of 96 without the change.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod resp;
 pub mod table;
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +31,8 @@
 const WRITES_WITHIN: Duration = Duration::from_secs(10);
 /// A connection that has been idle for this much longer than front ends keep theirs is given back.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Part of the room that connections at rest keep when they are given back: one in so many.
+const KEPT: usize = 4;
 /// Connections over the bound, one in so many, while those that lose their place have not ended yet.
 const OVER: usize = 16;
 
@@ -39,12 +42,14 @@
     pub exchange: Handle,
     /// Cancelled when connections are to be given back.
     pub closing: CancellationToken,
+    /// Whether another process of this node has connections as well: both have half of the room then.
+    pub halved: Cell<bool>,
 }
 
 impl Shared {
     /// What fronts need beside the exchange.
     pub fn new(exchange: Handle, closing: CancellationToken) -> Rc<Self> {
-        Rc::new(Self { exchange, closing })
+        Rc::new(Self { exchange, closing, halved: Cell::new(false) })
     }
 
     /// How long a connection may rest; absent where it may for good.
@@ -67,7 +72,6 @@
 {
     let mut open = JoinSet::new();
     let table = Rc::new(Table::new(room.spares));
-    let most = room.most;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -77,6 +81,7 @@
             () = shared.closing.cancelled() => break,
         };
         while open.try_join_next().is_some() {}
+        let most = if shared.halved.get() { room.most / 2 } else { room.most };
         match accepted {
             Ok((stream, _)) if open.len() < most => {
                 open.spawn_local(connection(set_up(stream), table.enter()));
@@ -96,6 +101,8 @@
     }
     drop(listener);
     info!("not listening any more, {} connections open", open.len());
+    // Guards the descriptors while the next process has connections too: those that rest for longest leave first.
+    (room.most / KEPT..open.len()).take_while(|_| table.make_room()).for_each(drop);
     while open.join_next().await.is_some() {}
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -86,9 +86,10 @@
         warn!("no process can take over from this one: {problem}");
     }
     let reports = spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
-    spawn_local(keep_store(alone, config.clone(), published, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(handle.clone(), closing.clone());
+    shared.halved.set(!alone.is_finished());
+    spawn_local(keep_store(alone, config.clone(), published, shared.clone()));
     let fronts = fronts(&config, listener, shared).await?;
     tokio::select! {
         _ = terminate.recv() => {}
@@ -119,17 +120,21 @@
     (alone, turn)
 }
 
-/// Runs the store, which no two processes can have open, and follows what the operator keeps there.
+/// Takes what no two processes can have, the whole room for connections and the store, and follows what the operator
+/// keeps there.
 async fn keep_store(
     alone: JoinHandle<()>,
     config: Config,
     published: watch::Receiver<String>,
-    exchange: Handle,
+    shared: Rc<Shared>,
 ) {
     let _ = alone.await;
+    shared.halved.set(false);
     let Config { name, operator, .. } = config;
     match store::start(&name, operator.store, published) {
-        Ok(contents) => follow_operator(format!("state/{name}/maintenance"), contents, exchange).await,
+        Ok(contents) => {
+            follow_operator(format!("state/{name}/maintenance"), contents, shared.exchange.clone()).await;
+        }
         Err(problem) => error!("the store cannot run: {problem}"),
     }
 }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::json;
 use support::resp::FrontEnd;
-use support::{Node, settings, try_id};
+use support::{Node, config, settings, try_id};
 
 fn held() -> (Node, FrontEnd) {
     let mut node = Node::launch_held(settings());
@@ -152,3 +153,33 @@
     assert_eq!(new.call("POST", "/active"), 200);
     new.reported("Ready");
 }
+
+#[rstest]
+fn two_processes_with_crowds_of_quiet_callers_stay_within_the_descriptors_of_one() {
+    const LIMIT: usize = 96;
+    let mut config = config(settings());
+    config["limits"]["sockets"] = json!(LIMIT);
+    let mut old = Node::launch_held_as(config);
+    old.processor.greet("warm");
+    old.reported("Ready");
+    let asked_once = |address: &str| {
+        let mut front = FrontEnd::connect(address);
+        assert_eq!(front.answer_to_status().word, "healthy");
+        front
+    };
+    let quiet: Vec<FrontEnd> = (0..60).map(|_| asked_once(&old.resp)).collect();
+    // One with an open request keeps its place.
+    let mut open = FrontEnd::connect(&old.resp);
+    pay(&mut open, 1, "open");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.reported("Ready");
+    let more: Vec<FrontEnd> = (0..60).map(|_| asked_once(&new.resp)).collect();
+    let held = (old.descriptors(), new.descriptors());
+    assert!(held.0 > 0 && held.0 + held.1 <= LIMIT, "{held:?}");
+    old.processor.complete(&try_id(1), b"kept");
+    assert_eq!(open.answer().body, b"kept");
+    drop((quiet, more, open));
+    assert!(old.ended().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -126,12 +126,16 @@
 
     /// A node whose listening socket is held by the platform and handed down to it.
     pub fn launch_held(settings: Value) -> Self {
+        Self::launch_held_as(config(settings))
+    }
+
+    /// The same with a whole configuration.
+    pub fn launch_held_as(mut config: Value) -> Self {
         let name = format!("sillflow-{}-{}", std::process::id(), DIRS.fetch_add(1, SeqCst));
         let dir = Dir(std::env::temp_dir().join(name));
         std::fs::create_dir_all(&dir.0).expect("a folder");
         std::fs::write(dir.0.join("operator.toml"), "").expect("a file");
         let held = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut config = config(settings);
         config["listen"] = held.local_addr().expect("an address").to_string().into();
         Self::spawn(config, Arc::new(dir), Some(held))
     }
@@ -265,6 +269,12 @@
         status.parse().expect("a number")
     }
 
+    /// The descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        held.map_or(0, |held| held.count())
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
