Add the choice among servers and inherited knowledge as machines without I/O, and measure them

src/route holds a pool: relative times in log space against a level that all share, failures, starts with slow start, choice by expected finish among three candidates, a look now and then at what was not measured for long, outliers put out and tried again, a bound on that, a retry budget. src/knowledge holds the digest, its checks, and priors from several tellers whose trust is a sequential probability ratio test moved by own samples. Nothing uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run measure-knowledge
 
 build:
 	cargo build --release --locked
@@ -13,3 +13,7 @@
 # PROXY_CONFIG names the platform's file; SILLFLOW_OPERATOR, if set, the operator's.
 run: build
 	target/release/sillflow
+
+# What inherited knowledge and the choice among servers gain: a line a figure, with its bar.
+measure-knowledge:
+	cargo bench --locked --bench knowledge
--- /dev/null
+++ b/src/knowledge/mod.rs
@@ -0,0 +1,14 @@
+//! What a node is told of servers by other nodes, and how far it believes that. No I/O and no clock: times are given
+//! in ms of a clock that never runs backwards, and what crosses the wire is ages.
+//!
+//! Only first-hand knowledge travels: a [`Digest`] holds the teller's own measurements and nothing that it was told.
+//! The receiver takes it as prior evidence ([`Inherited`]): its weight falls with age, is capped, and fades as own
+//! samples come; trust in each teller is a likelihood ratio that own samples move.
+
+mod digest;
+mod inherited;
+mod trust;
+
+pub use digest::{Digest, DigestError, Item, MOST_ITEMS, Run};
+pub use inherited::{Claim, Heard, Inherited, Merged, Prior, Sample};
+pub use trust::{CONTRADICTED, Trust};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod haproxy;
 pub mod inherit;
 pub mod interface;
+pub mod knowledge;
 pub mod logic;
 pub mod node;
+pub mod route;
 pub mod store;
 mod validate;
 
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,17 @@
+//! The servers of a dependency and the choice among them. No I/O and no clock: times are ms of a clock that never
+//! runs backwards, randomness is given by the caller.
+//!
+//! A [`Pool`] learns of each server how its times compare with the pool's, how often it fails, when it started and
+//! what is in hand there, and chooses by expected finish among a few candidates drawn at random. What other nodes say
+//! ([`crate::knowledge`]) is prior evidence beside it.
+
+mod budget;
+mod choice;
+mod estimate;
+mod outlier;
+mod pool;
+mod server;
+
+pub use budget::RetryBudget;
+pub use pool::{Belief, Choice, Ended, Full, Kind, Options, Pool};
+pub use server::{ServerId, Spec, Standing};
--- /dev/null
+++ b/src/route/pool.rs
@@ -0,0 +1,617 @@
+//! The pool: what is known of each server, the choice, and what its end teaches.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use slotmap::SlotMap;
+
+use super::budget::RetryBudget;
+use super::choice::Eligible;
+use super::estimate::Rate;
+use super::outlier::{Measured, median, outliers};
+use super::server::{Server, ServerId, Spec, Standing, Start, TRIALS};
+use crate::knowledge::{Digest, Heard, Inherited, Item, Merged, Prior, Run, Sample};
+
+/// Time between looks at the whole pool, and the least time before one that failures in a row call for, in ms.
+const REVIEW_MS: f64 = 1_000.0;
+const EARLY_REVIEW_MS: f64 = 100.0;
+/// Failures in a row that call for an early look.
+const STREAK: u32 = 3;
+/// Own calls in hand, by weight, that make a server take twice its time.
+const CROWD: f64 = 6.0;
+/// What a failure costs, in times of a usual call.
+const FAILURE_COST: f64 = 10.0;
+/// Share of safe calls that go to a server on trial, while there is one.
+const TRIAL_SHARE: f64 = 0.1;
+/// Share of safe calls that may go to a server because it was not measured for so long, in ms.
+const LOOK_SHARE: f64 = 0.02;
+const LOOK_AGE_MS: f64 = 20_000.0;
+/// Samples and calls for which "as the pool" counts in each server's estimate.
+const USUAL_SAMPLES: f64 = 0.5;
+const USUAL_CALLS: f64 = 1.0;
+/// The least part of a new sample in the pool's level, and the most that one may move it, as log time.
+const LEVEL_GAIN: f64 = 0.03;
+const MOST_RESIDUAL: f64 = 1.5;
+/// A call of a trial is good up to this log time beside the pool: 4.5 times.
+const TRIAL_SLOW: f64 = 1.5;
+/// The variance of single samples where there are too few to tell.
+const USUAL_VARIANCE: f64 = 0.25;
+/// Samples that a level counts for which another node told.
+const LEVEL_TOLD: f64 = 3.0;
+/// Servers that something must be known of before the level is put at their middle.
+const LEAST_KNOWN: usize = 4;
+/// How much the slowest server is wanted beside a usual one: it is still tried now and then.
+const LEAST_WANTED: f64 = 0.05;
+/// The least time and work that a sample is taken as, in ms and in units.
+const LEAST: f64 = 1e-3;
+
+/// What the operator sets for a pool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// The zone of this node; empty where there are none.
+    pub zone: Arc<str>,
+    /// How many times as long a server of another zone is taken to need.
+    pub cross_zone: f64,
+    /// Calls in hand at a server of weight 1 at the most.
+    pub most_in_hand: f64,
+    /// The part of the servers that may be out at once.
+    pub most_out: f64,
+    /// Further attempts beside calls.
+    pub retry_share: f64,
+    /// Time in which a server that has started becomes warm, in ms, and the part of its speed that it has at first.
+    pub warm_ms: f64,
+    /// See `warm_ms`.
+    pub warm_from: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            zone: "".into(),
+            cross_zone: 1.25,
+            most_in_hand: 64.0,
+            most_out: 0.3,
+            retry_share: 0.1,
+            warm_ms: 15_000.0,
+            warm_from: 0.25,
+        }
+    }
+}
+
+/// A server that was chosen. It is given back with the end of the call, in any case.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Which server.
+    pub id: ServerId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// When the call is expected to end, in ms from now.
+    pub expected_ms: f64,
+    work: f64,
+    /// By how much it was taken to be slower than warm and idle, as log time.
+    slowed: f64,
+}
+
+/// No server has room: each has as many calls in hand as it may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// How a call to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Well.
+    Served,
+    /// Badly, or not in its time.
+    Failed,
+    /// The server turned it away unrun.
+    TurnedAway,
+    /// Its address takes no connection: no process is there.
+    Refused,
+    /// It could not be reached otherwise.
+    Unreachable,
+    /// It was given up, which tells of the server only that it took this long already.
+    Withdrawn,
+}
+
+/// The end of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ended {
+    /// How it ended.
+    pub kind: Kind,
+    /// How long it took, in ms.
+    pub took_ms: f64,
+    /// What the server said of its start.
+    pub run: Option<Run>,
+}
+
+/// What is believed of a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Belief {
+    /// As the operator names it.
+    pub spec: Spec,
+    /// Whether calls go there.
+    pub standing: Standing,
+    /// Calls in hand.
+    pub in_hand: u32,
+    /// Time beside the pool's, as a factor, and the part of calls that fail, own samples and others' words together.
+    pub times: f64,
+    /// See `times`.
+    pub failing: f64,
+    /// Own samples.
+    pub samples: f64,
+    /// Time since the newest own one, in ms.
+    pub age_ms: Option<f64>,
+    /// Time since its start, in ms, where that is known.
+    pub up_ms: Option<f64>,
+    /// What others say.
+    pub heard: Vec<Heard>,
+}
+
+/// The servers of one dependency.
+pub struct Pool {
+    options: Options,
+    servers: SlotMap<ServerId, Server>,
+    by_address: HashMap<SocketAddr, ServerId>,
+    eligible: Eligible,
+    /// Log time for a unit of work, in ms, of the middle server; absent before the first sample.
+    level: Option<f64>,
+    level_samples: f64,
+    failures: Rate,
+    inherited: Inherited<ServerId>,
+    budget: RetryBudget,
+    in_hand: u64,
+    reviewed: f64,
+    /// Whose turn it is to be looked at.
+    turn: usize,
+}
+
+impl Pool {
+    /// A pool that knows nothing yet.
+    pub fn new(now: f64, options: Options, specs: &[Spec]) -> Self {
+        let mut pool = Self {
+            budget: RetryBudget::new(options.retry_share),
+            options,
+            servers: SlotMap::with_key(),
+            by_address: HashMap::new(),
+            eligible: Eligible::default(),
+            level: None,
+            level_samples: 0.0,
+            failures: Rate::default(),
+            inherited: Inherited::default(),
+            in_hand: 0,
+            reviewed: now,
+            turn: 0,
+        };
+        pool.replace(now, specs);
+        pool
+    }
+
+    /// Puts other servers in force. What is known of one that stays is kept; calls in hand at one that goes end as
+    /// they do.
+    pub fn replace(&mut self, now: f64, specs: &[Spec]) {
+        let wanted: HashSet<SocketAddr> = specs.iter().map(|spec| spec.address).collect();
+        let gone: Vec<ServerId> = self
+            .by_address
+            .iter()
+            .filter(|(address, _)| !wanted.contains(address))
+            .map(|(_, id)| *id)
+            .collect();
+        for id in gone {
+            if let Some(server) = self.servers.remove(id) {
+                self.by_address.remove(&server.spec.address);
+                self.in_hand -= u64::from(server.in_hand);
+            }
+            self.inherited.forget(id);
+        }
+        for spec in specs {
+            match self.by_address.get(&spec.address).and_then(|id| self.servers.get_mut(*id)) {
+                Some(server) => server.spec = spec.clone(),
+                None => {
+                    let id = self.servers.insert(Server::new(spec.clone()));
+                    self.by_address.insert(spec.address, id);
+                }
+            }
+        }
+        self.review(now);
+    }
+
+    /// How many servers there are.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Whether a server at this address is in the pool.
+    pub fn has(&self, address: SocketAddr) -> bool {
+        self.by_address.contains_key(&address)
+    }
+
+    /// Calls in hand at all servers.
+    pub fn in_hand(&self) -> u64 {
+        self.in_hand
+    }
+
+    /// Chooses a server for a call of so much work, and takes a place there. Servers that were `tried` for it are
+    /// left out while there are others. Only a call that is `safe` to repeat goes to a server on trial.
+    ///
+    /// # Errors
+    /// No server has room.
+    pub fn choose(
+        &mut self,
+        now: f64,
+        work: f64,
+        safe: bool,
+        tried: &[ServerId],
+        rng: &mut impl Rng,
+    ) -> Result<Choice, Full> {
+        if now - self.reviewed >= REVIEW_MS {
+            self.review(now);
+        }
+        let work = work.max(LEAST);
+        let looked =
+            if safe { self.on_trial(tried, rng).or_else(|| self.unmeasured(now, tried, rng)) } else { None };
+        let id = looked.or_else(|| self.drawn(now, work, tried, rng)).or_else(|| self.any(now, work, tried));
+        let id = id.ok_or(Full)?;
+        let (expected_ms, slowed) = (self.expected(id, now, work), self.slowed(id, now));
+        let server = self.servers.get_mut(id).ok_or(Full)?;
+        server.in_hand += 1;
+        self.in_hand += 1;
+        if tried.is_empty() {
+            self.budget.called();
+        }
+        Ok(Choice { id, address: server.spec.address, expected_ms, work, slowed })
+    }
+
+    /// Whether a further attempt is within the budget, which it then counts to.
+    pub fn may_retry(&mut self) -> bool {
+        self.budget.take()
+    }
+
+    fn on_trial(&self, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+        let trial = &self.eligible.trial;
+        if trial.is_empty() || rng.random::<f64>() >= TRIAL_SHARE {
+            return None;
+        }
+        let id = trial[rng.random_range(..trial.len())];
+        let free = |server: &Server| server.in_hand == 0 && matches!(server.standing, Standing::Trial { .. });
+        (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
+    }
+
+    /// Now and then the next server in turn, where it was not measured here for long: one that was bad once would
+    /// never be seen to be good again, and a word that praises bad ones would never be refuted by good ones.
+    fn unmeasured(&mut self, now: f64, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+        let Eligible { near, far, .. } = &self.eligible;
+        if near.is_empty() && far.is_empty() || rng.random::<f64>() >= LOOK_SHARE {
+            return None;
+        }
+        self.turn = (self.turn + 1) % (near.len() + far.len());
+        let id = *near.get(self.turn).or_else(|| far.get(self.turn - near.len()))?;
+        let server = self.servers.get(id)?;
+        let old = server.measured().is_none_or(|measured| now - measured >= LOOK_AGE_MS);
+        let free = server.standing == Standing::In && self.has_room(server) && !tried.contains(&id);
+        (old && free).then_some(id)
+    }
+
+    /// The best of a few candidates.
+    fn drawn(&self, now: f64, work: f64, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+        let fit = |id: ServerId| {
+            let server = self.servers.get(id).filter(|server| self.has_room(server))?;
+            let usual = self.level.unwrap_or(0.0).exp() * work;
+            let quick = (usual / self.cost(id, now, work)).clamp(LEAST_WANTED, 1.0);
+            (server.standing == Standing::In && !tried.contains(&id)).then_some(server.spec.weight * quick)
+        };
+        let drawn = self.eligible.draw(rng, fit);
+        self.cheapest(drawn, now, work)
+    }
+
+    /// The best of all that have room: those in force before those that are out, and before those tried already.
+    fn any(&self, now: f64, work: f64, tried: &[ServerId]) -> Option<ServerId> {
+        let with_room = || self.servers.iter().filter(|(_, server)| self.has_room(server));
+        let fresh = || with_room().filter(|(id, _)| !tried.contains(id));
+        let within = fresh().filter(|(_, server)| server.standing == Standing::In).map(|(id, _)| id);
+        self.cheapest(within, now, work)
+            .or_else(|| self.cheapest(fresh().map(|(id, _)| id), now, work))
+            .or_else(|| self.cheapest(with_room().map(|(id, _)| id), now, work))
+    }
+
+    fn cheapest(&self, ids: impl Iterator<Item = ServerId>, now: f64, work: f64) -> Option<ServerId> {
+        let costs = ids.map(|id| (self.cost(id, now, work), id));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+    }
+
+    fn has_room(&self, server: &Server) -> bool {
+        f64::from(server.in_hand) < (self.options.most_in_hand * server.spec.weight).max(1.0)
+    }
+
+    /// Log time beside the pool's of a server that is warm and idle.
+    fn relative(&self, server: &Server, prior: &Prior, now: f64) -> f64 {
+        let own = server.known.times.weight(now);
+        let sum = own * server.known.times.mean() + prior.weight * prior.mean;
+        sum / (own + prior.weight + USUAL_SAMPLES)
+    }
+
+    fn failing(&self, server: &Server, prior: &Prior, now: f64) -> f64 {
+        let (failed, calls) = server.known.failures.counts(now);
+        (failed + prior.failed + USUAL_CALLS * self.usual_failing(now)) / (calls + prior.calls + USUAL_CALLS)
+    }
+
+    fn usual_failing(&self, now: f64) -> f64 {
+        let (failed, calls) = self.failures.counts(now);
+        failed / (calls + 1.0)
+    }
+
+    fn prior(&self, id: ServerId, server: &Server, now: f64) -> Prior {
+        let (_, calls) = server.known.failures.counts(now);
+        self.inherited.prior(id, server.known.times.weight(now).max(calls), now)
+    }
+
+    /// By how much a server is slower than warm and idle, as log time.
+    fn slowed(&self, id: ServerId, now: f64) -> f64 {
+        let Some(server) = self.servers.get(id) else { return 0.0 };
+        let started = server.start.at.or_else(|| self.inherited.start_of(id));
+        let warm = started.map_or(1.0, |started| {
+            let share = ((now - started) / self.options.warm_ms).clamp(0.0, 1.0);
+            self.options.warm_from + (1.0 - self.options.warm_from) * share
+        });
+        (1.0 + server.load() / CROWD).ln() - warm.ln()
+    }
+
+    /// When a call that began now would end, in ms.
+    fn expected(&self, id: ServerId, now: f64, work: f64) -> f64 {
+        let Some(server) = self.servers.get(id) else { return f64::INFINITY };
+        let relative = self.relative(server, &self.prior(id, server, now), now);
+        (self.level.unwrap_or(0.0) + relative + self.slowed(id, now)).exp() * work
+    }
+
+    /// Expected finish, with what a failure costs and the way to another zone.
+    fn cost(&self, id: ServerId, now: f64, work: f64) -> f64 {
+        let Some(server) = self.servers.get(id) else { return f64::INFINITY };
+        let prior = self.prior(id, server, now);
+        let relative = self.relative(server, &prior, now);
+        let usual = self.level.unwrap_or(0.0).exp() * work;
+        let far = if server.spec.zone == self.options.zone { 1.0 } else { self.options.cross_zone };
+        let finish = usual * (relative + self.slowed(id, now)).exp() * far;
+        finish + self.failing(server, &prior, now) * FAILURE_COST * usual
+    }
+
+    /// Gives a server back, and learns from how the call ended.
+    pub fn ended(&mut self, now: f64, choice: &Choice, ended: &Ended) {
+        let Some(server) = self.servers.get_mut(choice.id) else { return };
+        server.in_hand = server.in_hand.saturating_sub(1);
+        self.in_hand = self.in_hand.saturating_sub(1);
+        self.note_start(now, choice.id, ended);
+        let log_time = self.sample(now, choice, ended);
+        let failed = match ended.kind {
+            Kind::Served => Some(false),
+            Kind::Withdrawn => None,
+            _ => Some(true),
+        };
+        let failing = self.usual_failing(now);
+        self.inherited.learn(choice.id, &Sample { log_time, failed, failing });
+        let Some(server) = self.servers.get_mut(choice.id) else { return };
+        if let Some(failed) = failed {
+            server.note_end(now, failed);
+            self.failures.add(now, failed);
+            server.tried(now, !failed && log_time.is_none_or(|log_time| log_time <= TRIAL_SLOW));
+        }
+        if server.streak >= STREAK && now - self.reviewed >= EARLY_REVIEW_MS {
+            self.review(now);
+        }
+    }
+
+    /// Takes the time of a call as a sample; its log time beside the pool's. Of one that was not served it is known
+    /// only that it would have taken longer.
+    fn sample(&mut self, now: f64, choice: &Choice, ended: &Ended) -> Option<f64> {
+        let raw = (ended.took_ms.max(LEAST) / choice.work).ln() - choice.slowed;
+        let served = match ended.kind {
+            Kind::Served => true,
+            Kind::Failed | Kind::Withdrawn => false,
+            Kind::TurnedAway | Kind::Refused | Kind::Unreachable => return None,
+        };
+        let server = self.servers.get(choice.id)?;
+        let expected = self.relative(server, &self.prior(choice.id, server, now), now);
+        let level = match self.level {
+            Some(level) => level,
+            None if served => *self.level.insert(raw - expected),
+            None => return None,
+        };
+        let log_time = raw - level;
+        if !served && log_time <= expected {
+            return None;
+        }
+        let gain = LEVEL_GAIN.max(1.0 / (self.level_samples + 2.0));
+        self.level = Some(level + gain * (log_time - expected).clamp(-MOST_RESIDUAL, MOST_RESIDUAL));
+        self.level_samples += 1.0;
+        self.servers.get_mut(choice.id)?.note_time(now, log_time);
+        Some(log_time)
+    }
+
+    /// Notes what the end of a call tells of the server's start. What was known of another start is forgotten.
+    fn note_start(&mut self, now: f64, id: ServerId, ended: &Ended) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        match ended.kind {
+            Kind::Refused => {
+                server.refused_since.get_or_insert(now);
+                return;
+            }
+            Kind::Unreachable | Kind::Withdrawn => return,
+            _ => {}
+        }
+        let run = ended.run.unwrap_or(Run { incarnation: None, up_ms: None });
+        let told = Start { incarnation: run.incarnation, at: run.up_ms.map(|up| now - up) };
+        let refused = server.refused_since;
+        let another = server.is_another(told);
+        let start = if another {
+            Start { at: told.at.or(refused), ..told }
+        } else {
+            Start {
+                incarnation: told.incarnation.or(server.start.incarnation),
+                at: server.start.at.or(told.at),
+            }
+        };
+        server.refused_since = None;
+        if another {
+            server.restarted(start);
+        }
+        if another || start != server.start {
+            server.start = start;
+            self.inherited.started(id, start.incarnation, start.at);
+        }
+    }
+
+    /// Looks at all servers: who is out, who is tried again, where the middle is, and who may be chosen.
+    fn review(&mut self, now: f64) {
+        self.reviewed = now;
+        self.recentre(now);
+        for server in self.servers.values_mut() {
+            if let Standing::Out { until, times } = server.standing
+                && until <= now
+            {
+                server.standing = Standing::Trial { left: TRIALS, times };
+            }
+        }
+        self.put_out(now);
+        let zone = self.options.zone.clone();
+        let mut eligible = Eligible::default();
+        for (id, server) in &self.servers {
+            match server.standing {
+                Standing::Out { .. } => continue,
+                Standing::Trial { .. } => eligible.trial.push(id),
+                Standing::In if server.spec.zone == zone => eligible.near.push(id),
+                Standing::In => eligible.far.push(id),
+            }
+            eligible.most_weight = eligible.most_weight.max(server.spec.weight);
+        }
+        self.eligible = eligible;
+    }
+
+    fn put_out(&mut self, now: f64) {
+        let room = self.room_to_put_out();
+        if room == 0 {
+            return;
+        }
+        let measured =
+            self.servers.iter().filter(|(_, server)| server.standing == Standing::In).map(|(id, server)| {
+                let (failed, calls) = server.judged.failures.counts(now);
+                let variance = server.judged.times.variance().unwrap_or(USUAL_VARIANCE);
+                let (mean, samples) = (server.judged.times.mean(), server.judged.times.weight(now));
+                Measured { id, mean, variance, samples, failed, calls }
+            });
+        let measured: Vec<_> = measured.collect();
+        for id in outliers(&measured).into_iter().take(room) {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.put_out(now);
+            }
+        }
+    }
+
+    /// Puts the level at the middle of the servers that something is known of, so that relative times mean the same
+    /// here as in what others tell.
+    fn recentre(&mut self, now: f64) {
+        let Some(level) = self.level else { return };
+        let known = |(id, server): (ServerId, &Server)| {
+            let prior = self.prior(id, server, now);
+            let weight = server.known.times.weight(now) + prior.weight;
+            (weight >= 1.0).then(|| self.relative(server, &prior, now))
+        };
+        let mut known: Vec<f64> = self.servers.iter().filter_map(known).collect();
+        if known.len() < LEAST_KNOWN {
+            return;
+        }
+        if let Some(middle) = median(&mut known) {
+            self.level = Some(level + middle);
+            self.servers.values_mut().for_each(|server| server.shift(-middle));
+            self.inherited.shift(-middle);
+        }
+    }
+
+    /// All that was measured here, and nothing that was only heard.
+    pub fn digest(&self, now: f64, teller: &str) -> Digest {
+        let item = |server: &Server| {
+            // As of then: its age is told beside it.
+            let known_at = server.measured()?;
+            let (failed, calls) = server.known.failures.counts(known_at);
+            Some(Item {
+                address: server.spec.address,
+                log_time: server.known.times.mean(),
+                variance: server.known.times.variance().unwrap_or(USUAL_VARIANCE),
+                samples: server.known.times.weight(known_at),
+                calls,
+                failed,
+                age_ms: (now - known_at).max(0.0),
+                out: server.standing != Standing::In,
+                run: Run {
+                    incarnation: server.start.incarnation,
+                    up_ms: server.start.at.map(|at| (now - at).max(0.0)),
+                },
+            })
+        };
+        let items = self.servers.values().filter_map(item).collect();
+        Digest { teller: teller.to_owned(), level: self.level, items }
+    }
+
+    /// Takes in what another node has measured. It counts as prior evidence beside own samples.
+    pub fn inherit(&mut self, now: f64, digest: &Digest) -> Merged {
+        let (by_address, servers) = (&self.by_address, &self.servers);
+        let merged = self.inherited.merge(now, digest, |item| {
+            let id = *by_address.get(&item.address)?;
+            let start = servers.get(id)?.start;
+            Some((id, start.incarnation, start.at))
+        });
+        if self.level.is_none() && merged.taken > 0 {
+            self.level = digest.level;
+            self.level_samples = LEVEL_TOLD;
+        }
+        self.put_on_trial(now);
+        self.review(now);
+        merged
+    }
+
+    /// Servers that others have put out start on trial here: a false word costs them a few calls at the most.
+    fn put_on_trial(&mut self, now: f64) {
+        let room = self.room_to_put_out();
+        let inherited = &self.inherited;
+        let unknown = |server: &Server| server.standing == Standing::In && server.measured().is_none();
+        let told =
+            self.servers.iter_mut().filter(|(id, server)| unknown(server) && inherited.is_out(*id, now));
+        told.take(room).for_each(|(_, server)| server.standing = Standing::Trial { left: TRIALS, times: 0 });
+    }
+
+    /// How many more servers may be put out.
+    fn room_to_put_out(&self) -> usize {
+        let away = self.servers.values().filter(|server| server.standing != Standing::In).count();
+        ((self.servers.len() as f64 * self.options.most_out) as usize).saturating_sub(away)
+    }
+
+    /// What is believed of each server, by address.
+    pub fn beliefs(&self, now: f64) -> Vec<Belief> {
+        let belief = |(id, server): (ServerId, &Server)| {
+            let prior = self.prior(id, server, now);
+            Belief {
+                spec: server.spec.clone(),
+                standing: server.standing,
+                in_hand: server.in_hand,
+                times: self.relative(server, &prior, now).exp(),
+                failing: self.failing(server, &prior, now),
+                samples: server.known.times.weight(now),
+                age_ms: server.measured().map(|newest| now - newest),
+                up_ms: server.start.at.or_else(|| self.inherited.start_of(id)).map(|at| now - at),
+                heard: self.inherited.heard(id, now),
+            }
+        };
+        let mut beliefs: Vec<Belief> = self.servers.iter().map(belief).collect();
+        beliefs.sort_by_key(|belief| belief.spec.address);
+        beliefs
+    }
+
+    /// How far each node that told something is believed, from 0 to 1.
+    pub fn tellers(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.inherited.tellers()
+    }
+}
--- /dev/null
+++ b/src/route/server.rs
@@ -0,0 +1,161 @@
+//! One server as its pool knows it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::estimate::{Mean, Rate};
+
+slotmap::new_key_type! {
+    /// Names a server for as long as it is in the pool; one that comes back later has a new name.
+    pub struct ServerId;
+}
+
+/// A server as the operator names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spec {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone; empty where there are none.
+    pub zone: Arc<str>,
+    /// Its size beside others, above 0.
+    pub weight: f64,
+}
+
+/// Whether calls go to a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    /// As to any other.
+    In,
+    /// None do until this time, in ms; it has been put out so often in a row.
+    Out {
+        /// When it is tried again.
+        until: f64,
+        /// Times in a row.
+        times: u32,
+    },
+    /// One at a time does, until so many have gone well.
+    Trial {
+        /// How many are left.
+        left: u32,
+        /// How often it was put out in a row.
+        times: u32,
+    },
+}
+
+/// Good calls in a row that bring a server back.
+pub(super) const TRIALS: u32 = 3;
+/// The first time out, in ms; it doubles up to the second.
+const OUT_MS: (f64, f64) = (2_000.0, 20_000.0);
+/// A start that is told this much off the one that is known is another, in ms: the tick of the server's clock and
+/// the way of its word.
+const START_SLACK_MS: f64 = 2_000.0;
+
+/// The start of a server's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Start {
+    pub(super) incarnation: Option<u64>,
+    /// By the pool's clock.
+    pub(super) at: Option<f64>,
+}
+
+/// What was measured of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Record {
+    /// Log time for a unit of work relative to the pool's level, as if the server were warm and idle.
+    pub(super) times: Mean,
+    pub(super) failures: Rate,
+}
+
+pub(super) struct Server {
+    pub(super) spec: Spec,
+    /// Of this start of it.
+    pub(super) known: Record,
+    /// Of that, what came since it was last put out: it is not put out twice for the same.
+    pub(super) judged: Record,
+    pub(super) in_hand: u32,
+    pub(super) start: Start,
+    /// Since when each connection was refused.
+    pub(super) refused_since: Option<f64>,
+    /// Failures since the last call that went well.
+    pub(super) streak: u32,
+    pub(super) standing: Standing,
+}
+
+impl Server {
+    pub(super) fn new(spec: Spec) -> Self {
+        Self {
+            spec,
+            known: Record::default(),
+            judged: Record::default(),
+            in_hand: 0,
+            start: Start::default(),
+            refused_since: None,
+            streak: 0,
+            standing: Standing::In,
+        }
+    }
+
+    /// Whether a word of the server on its start is of another one than is known.
+    pub(super) fn is_another(&self, told: Start) -> bool {
+        match (self.start, told) {
+            (Start { incarnation: Some(known), .. }, Start { incarnation: Some(told), .. }) => known != told,
+            (Start { at: Some(known), .. }, Start { at: Some(told), .. }) => told > known + START_SLACK_MS,
+            _ => self.refused_since.is_some(),
+        }
+    }
+
+    /// Forgets what was measured of another start.
+    pub(super) fn restarted(&mut self, start: Start) {
+        (self.known, self.judged) = (Record::default(), Record::default());
+        self.streak = 0;
+        self.start = start;
+    }
+
+    /// When the newest call that tells something of it ended; absent before the first.
+    pub(super) fn measured(&self) -> Option<f64> {
+        let newest = [self.known.times.newest(), self.known.failures.newest()];
+        newest.into_iter().flatten().max_by(f64::total_cmp)
+    }
+
+    /// Puts its times beside another level.
+    pub(super) fn shift(&mut self, by: f64) {
+        self.known.times.shift(by);
+        self.judged.times.shift(by);
+    }
+
+    pub(super) fn note_time(&mut self, now: f64, log_time: f64) {
+        self.known.times.add(now, log_time);
+        self.judged.times.add(now, log_time);
+    }
+
+    pub(super) fn note_end(&mut self, now: f64, failed: bool) {
+        self.known.failures.add(now, failed);
+        self.judged.failures.add(now, failed);
+        self.streak = if failed { self.streak + 1 } else { 0 };
+    }
+
+    /// Puts it out, for longer each time in a row.
+    pub(super) fn put_out(&mut self, now: f64) {
+        let times = match self.standing {
+            Standing::In => 0,
+            Standing::Out { times, .. } | Standing::Trial { times, .. } => times,
+        };
+        let out_ms = (OUT_MS.0 * f64::from(times.min(16)).exp2()).min(OUT_MS.1);
+        self.standing = Standing::Out { until: now + out_ms, times: times + 1 };
+        self.judged = Record::default();
+    }
+
+    /// Counts a call of a trial.
+    pub(super) fn tried(&mut self, now: f64, good: bool) {
+        let Standing::Trial { left, times } = self.standing else { return };
+        if !good {
+            return self.put_out(now);
+        }
+        self.standing = if left > 1 { Standing::Trial { left: left - 1, times } } else { Standing::In };
+    }
+
+    /// Calls in hand beside its size.
+    pub(super) fn load(&self) -> f64 {
+        f64::from(self.in_hand) / self.spec.weight
+    }
+}
