--- a/tests/route.rs
+++ b/tests/route.rs
@@ -412,6 +412,18 @@
     assert!(play.times(0) > 1.5, "{}", play.times(0));
 }
 
+#[rstest]
+fn clocks_an_hour_apart_change_nothing() {
+    let mut teller = Play::new(5);
+    teller.now = 3_600_000.0;
+    teller.measure(5, |server| if server < 2 { (Kind::Served, 300.0) } else { served(server) });
+    let mut play = Play::new(5);
+    play.pool.inherit(play.now, &teller.pool.digest(teller.now, "teller"));
+    assert!(play.times(0) > 1.8, "{}", play.times(0));
+    let ages = play.pool.beliefs(play.now).into_iter().flat_map(|belief| belief.heard);
+    assert!(ages.map(|heard| heard.age_ms).all(|age| (0.0..1_000.0).contains(&age)));
+}
+
 #[rstest]
 fn only_what_was_measured_travels_on() {
     let mut play = told(|_| ());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -229,6 +229,12 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
     }
 
+    /// Puts this text behind the AJP table in the operator's file.
+    pub fn operator(&self, more: &str) {
+        let text = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
+        std::fs::write(self.dir.0.join("operator.toml"), text).expect("a file");
+    }
+
     /// Puts this text in the place of the configuration and tells the node.
     pub fn reconfigure(&self, text: &str) {
         std::fs::write(&self.file, text).expect("a file");
