Listen for questions about servers only once this process is alone, and turn down an idle table

Need, found by reading the change again: in an upgrade the new process would have found the address taken by the old one and ended; a table [knowledge] without [records] was passed over in silence; a list that comes or goes at SIGHUP too.

Change: the listener opens when the process before has ended, as the store does, and a failure is logged while serving goes on. The idle table ends the start with its name, the SIGHUP case is logged. What peers say on the wire moves to src/peers, so that knowledge does not name route. A figure that nobody read is gone from a choice.

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -108,9 +108,9 @@
         let file: Self =
             toml::from_str(&text).map_err(|cause| ConfigError::Toml { path: name.clone(), cause })?;
         file.store.check()?;
-        let checked =
-            file.records.as_ref().map_or(Ok(()), RecordsTable::check).and_then(|()| file.knowledge.check());
-        match checked {
+        let servers = file.records.as_ref();
+        let checked = servers.map_or(Ok(()), RecordsTable::check);
+        match checked.and_then(|()| file.knowledge.check(servers.is_some())) {
             Ok(()) => Ok(file),
             Err((key, value, why)) => Err(ConfigError::Setting { path: name, key, value, why }),
         }
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -88,7 +88,11 @@
         *self == Self::default()
     }
 
-    pub(super) fn check(&self) -> Result<(), Fault> {
+    /// Holds every value to its range; without servers there is nothing to tell of.
+    pub(super) fn check(&self, has_servers: bool) -> Result<(), Fault> {
+        if !has_servers && !self.is_off() {
+            return Err(("knowledge".to_owned(), "the table".to_owned(), "is of no use without [records]"));
+        }
         let fault = |key: &str, value: String, why| Err((format!("knowledge.{key}"), value, why));
         if self.listen.is_some() && self.allow.is_empty() {
             return fault("allow", "[]".to_owned(), "names no network, so nobody could ask");
--- a/src/knowledge/mod.rs
+++ b/src/knowledge/mod.rs
@@ -8,7 +8,6 @@
 mod digest;
 mod inherited;
 mod trust;
-pub mod wire;
 
 pub use digest::{Digest, DigestError, Item, MOST_ITEMS, Run};
 pub use inherited::{Claim, Heard, Inherited, Merged, Prior, Sample};
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use clap::{Parser, Subcommand};
 use log::error;
 use sillflow::config::Config;
-use sillflow::knowledge::wire::{Subject, Told, answer_bytes};
+use sillflow::peers::wire::{Subject, Told, answer_bytes};
 use sillflow::store::{Answer, Change, Query};
 use sillflow::{haproxy, node, peers, store};
 use tokio::task::LocalSet;
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::back::{control, processor, records};
-use crate::config::{Config, ConfigError, Peers};
+use crate::config::{Config, ConfigError, Peers, RecordsTable};
 use crate::exchange::{self, Handle, Input};
 use crate::front::{self, Shared, ajp, resp};
 use crate::handover::{self, Successor};
@@ -87,14 +87,15 @@
     {
         warn!("no process can take over from this one: {problem}");
     }
-    if let Some(routes) = routes {
-        share_knowledge(&config, routes, handle.clone()).await?;
+    let donors = &config.operator.knowledge.donors;
+    if let Some(routes) = routes.clone().filter(|_| !donors.is_empty()) {
+        spawn_local(learn(config.operator.knowledge.clone(), routes));
     }
     let reports = spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(handle.clone(), closing.clone());
     shared.halved.set(!alone.is_finished());
-    spawn_local(keep_store(alone, config.clone(), published, shared.clone()));
+    spawn_local(settle_in(alone, config.clone(), published, routes, shared.clone()));
     let fronts = fronts(&config, listener, shared).await?;
     tokio::select! {
         _ = terminate.recv() => {}
@@ -125,16 +126,22 @@
     (alone, turn)
 }
 
-/// Takes what no two processes can have, the whole room for connections and the store, and follows what the operator
-/// keeps there.
-async fn keep_store(
+/// Takes what no two processes can have: the whole room for connections, the address for questions about servers and
+/// the store. Follows what the operator keeps there.
+async fn settle_in(
     alone: JoinHandle<()>,
     config: Config,
     published: watch::Receiver<String>,
+    routes: Option<Rc<Routes>>,
     shared: Rc<Shared>,
 ) {
     let _ = alone.await;
     shared.halved.set(false);
+    if let Some(routes) = routes
+        && let Err(problem) = answer_peers(&config, routes, shared.exchange.clone()).await
+    {
+        error!("questions about servers cannot be answered: {problem}");
+    }
     let Config { name, operator, .. } = config;
     match store::start(&name, operator.store, published) {
         Ok(contents) => {
@@ -144,18 +151,15 @@
     }
 }
 
-/// Asks other nodes what they know of the servers, and answers those that ask.
-async fn share_knowledge(config: &Config, routes: Rc<Routes>, exchange: Handle) -> io::Result<()> {
-    let table = config.operator.knowledge.clone();
+/// Answers those that ask what is known of the servers, where that is wished.
+async fn answer_peers(config: &Config, routes: Rc<Routes>, exchange: Handle) -> io::Result<()> {
+    let table = &config.operator.knowledge;
     if let Some(listen) = table.listen {
         let listener = TcpListener::bind(listen).await?;
         info!("{} listens for questions about servers on {}", config.name, listener.local_addr()?);
-        let (name, allow, routes) = (config.name.clone(), table.allow.clone(), routes.clone());
+        let (name, allow) = (config.name.clone(), table.allow.clone());
         spawn_local(Teller { name, allow, routes, exchange }.serve(listener));
     }
-    if !table.donors.is_empty() {
-        spawn_local(learn(table, routes));
-    }
     Ok(())
 }
 
@@ -190,10 +194,7 @@
                 exchange.tell(Input::Retune(Box::new(new.site.clone()))).await;
                 reached.send_replace(new.peers);
                 publish.send_replace(published);
-                if let (Some(routes), Some(table)) = (&routes, &new.operator.records) {
-                    info!("calls go to {} servers", table.servers.len());
-                    routes.replace(&table.servers);
-                }
+                turn_to(&routes, &new.operator.records);
                 config = new;
             }
             Err(problem) => warn!("the configuration stays as it was: {problem}"),
@@ -201,6 +202,18 @@
     }
 }
 
+/// Puts another list of servers in force. Whether there is one at all counts from the next start.
+fn turn_to(routes: &Option<Rc<Routes>>, table: &Option<RecordsTable>) {
+    match (routes, table) {
+        (Some(routes), Some(table)) => {
+            info!("calls go to {} servers", table.servers.len());
+            routes.replace(&table.servers);
+        }
+        (None, None) => {}
+        _ => warn!("servers of the records service come or go as a whole at the next start only"),
+    }
+}
+
 /// Carries the operator's wish from the store to the exchange: a node in maintenance serves, yet asks for no
 /// traffic.
 async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, exchange: Handle) {
--- a/src/peers/ask.rs
+++ b/src/peers/ask.rs
@@ -12,9 +12,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::routes::Routes;
+use super::wire::{Question, Subject, Told, VERSION, answer_bytes};
 use crate::config::KnowledgeTable;
 use crate::frame::{receive_within, send};
-use crate::knowledge::wire::{Question, Subject, Told, VERSION, answer_bytes};
 use crate::knowledge::{Digest, DigestError};
 
 /// Times that a donor is asked, and the wait before the next; what comes later is of little use to a node that has
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod routes;
 mod tell;
+pub mod wire;
 
 pub use ask::{AskError, ask, learn};
 pub use routes::{Leg, Routes};
--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -8,8 +8,8 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use super::wire::Beliefs;
 use crate::config::RecordsTable;
-use crate::knowledge::wire::Beliefs;
 use crate::knowledge::{Digest, Merged, Run};
 use crate::route::{Choice, Ended, Full, Kind, Pool, ServerId, Spec};
 
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -13,9 +13,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::routes::Routes;
+use super::wire::{QUESTION_BYTES, Question, Subject, Told, VERSION};
 use crate::exchange::{Handle, Input, Oddity};
 use crate::frame::{receive_within, send};
-use crate::knowledge::wire::{QUESTION_BYTES, Question, Subject, Told, VERSION};
 
 /// Connections served at once; the others wait.
 const CONNECTIONS: usize = 8;
--- a/src/knowledge/wire.rs
+++ b/src/peers/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Digest;
+use crate::knowledge::Digest;
 use crate::route::Belief;
 
 /// The version of what is said here. Another one is turned down with this number.
--- a/src/report.rs
+++ b/src/report.rs
@@ -2,7 +2,7 @@
 
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
-use sillflow::knowledge::wire::Beliefs;
+use sillflow::peers::wire::Beliefs;
 use sillflow::route::{Belief, Standing};
 
 fn seconds(ms: Option<f64>) -> String {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -88,8 +88,6 @@
     pub id: ServerId,
     /// Where it is reached.
     pub address: SocketAddr,
-    /// When the call is expected to end, in ms from now.
-    pub expected_ms: f64,
     work: f64,
     /// By how much it was taken to be slower than warm and idle, as log time.
     slowed: f64,
@@ -259,14 +257,14 @@
             if safe { self.on_trial(tried, rng).or_else(|| self.unmeasured(now, tried, rng)) } else { None };
         let id = looked.or_else(|| self.drawn(now, work, tried, rng)).or_else(|| self.any(now, work, tried));
         let id = id.ok_or(Full)?;
-        let (expected_ms, slowed) = (self.expected(id, now, work), self.slowed(id, now));
+        let slowed = self.slowed(id, now);
         let server = self.servers.get_mut(id).ok_or(Full)?;
         server.in_hand += 1;
         self.in_hand += 1;
         if tried.is_empty() {
             self.budget.called();
         }
-        Ok(Choice { id, address: server.spec.address, expected_ms, work, slowed })
+        Ok(Choice { id, address: server.spec.address, work, slowed })
     }
 
     /// Whether a further attempt is within the budget, which it then counts to.
@@ -363,13 +361,6 @@
         (1.0 + server.load() / CROWD).ln() - warm.ln()
     }
 
-    /// When a call that began now would end, in ms.
-    fn expected(&self, id: ServerId, now: f64, work: f64) -> f64 {
-        let Some(server) = self.servers.get(id) else { return f64::INFINITY };
-        let relative = self.relative(server, &self.prior(id, server, now), now);
-        (self.level.unwrap_or(0.0) + relative + self.slowed(id, now)).exp() * work
-    }
-
     /// Expected finish, with what a failure costs and the way to another zone.
     fn cost(&self, id: ServerId, now: f64, work: f64) -> f64 {
         let Some(server) = self.servers.get(id) else { return f64::INFINITY };
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -270,13 +270,20 @@
     "[records]\nservers = [{address = \"127.0.0.1:1\"}]\nchoice = {warm_ms = nan}",
     "records.choice.warm_ms: NaN"
 )]
-#[case::nobody_may("[knowledge]\nlisten = \"127.0.0.1:1\"", "knowledge.allow: []")]
+#[case::nobody_may(
+    "[records]\nservers = [{address = \"127.0.0.1:1\"}]\n[knowledge]\nlisten = \"127.0.0.1:1\"",
+    "knowledge.allow: []"
+)]
 #[case::network("[knowledge]\nallow = [\"10.0.0.0/40\"]", "10.0.0.0/40")]
 #[case::itself(
-    "[knowledge]\nlisten = \"127.0.0.1:1\"\nallow = [\"::/0\"]\ndonors = [\"127.0.0.1:1\"]",
+    "[records]\nservers = [{address = \"127.0.0.1:1\"}]\n[knowledge]\nlisten = \"127.0.0.1:1\"\nallow = [\"::/0\"]\ndonors = [\"127.0.0.1:1\"]",
     "donors: 127.0.0.1:1"
 )]
-#[case::deadline("[knowledge]\ndeadline_ms = 0", "knowledge.deadline_ms: 0")]
+#[case::deadline(
+    "[records]\nservers = [{address = \"127.0.0.1:1\"}]\n[knowledge]\ndeadline_ms = 0",
+    "knowledge.deadline_ms: 0"
+)]
+#[case::no_servers("[knowledge]\ndonors = [\"127.0.0.1:1\"]", "without [records]")]
 #[case::unknown("[records]\nserver = []", "server")]
 fn a_value_that_cannot_be_used_is_named_with_its_file(#[case] tables: &str, #[case] named: &str) {
     let folder = std::env::temp_dir().join(format!("sillflow-bad-{}-{}", std::process::id(), tables.len()));
