Name every fault of an operator's file at once, and print its schema

Need: a start stops at the first fault, so an operator corrects a file one start at a time; the tables of servers and of knowledge have a dozen values with ranges.

Change: faults carry key, value and reason and are collected by table; `sillflow check FILE` reads each table by itself, so that one that cannot be read hides no other; `sillflow schema` prints the JSON schema, by schemars. The start names all values out of range too.

Tests: one file with seven faults, the example of deploy/ as good, nine bad values by both ways.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: environment, JSON file and, for what the platform does not set, the
 //! operator's file.
 
+mod fault;
 mod operator;
 mod renew;
 mod routes;
@@ -18,6 +19,7 @@
 use crate::interface::SettingsError;
 use crate::validate::check;
 
+pub use fault::Fault;
 pub use operator::{Ajp, Operator, Peer, StoreOptions};
 pub use routes::{KnowledgeTable, RecordsTable};
 pub use settings::{Pairs, Site, gauges, parse};
@@ -55,17 +57,13 @@
     /// A value cannot be used.
     #[error("{0}")]
     Value(String),
-    /// A value of the operator's file cannot be used.
-    #[error("{path}: {key}: {value} {why}")]
-    Setting {
+    /// Values of the operator's file cannot be used.
+    #[error("{path}: {}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
+    Faults {
         /// The file.
         path: String,
-        /// The key.
-        key: String,
-        /// Its value.
-        value: String,
-        /// Why not.
-        why: &'static str,
+        /// All of them.
+        faults: Vec<Fault>,
     },
     /// The settings make no sense.
     #[error("{0}")]
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::ConfigError;
+use super::fault::Fault;
 use super::routes::{KnowledgeTable, RecordsTable};
 
 /// The file, in TOML.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// The AJP front; absent where it is off.
@@ -25,12 +28,13 @@
 }
 
 /// This node's member of the store.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct StoreOptions {
     /// The number of this member.
     pub id: u64,
     /// Where other members and programs beside the node connect; without it there is no socket.
+    #[schemars(with = "Option<String>")]
     pub listen: Option<SocketAddr>,
     /// Where it is kept over a restart; without it, it is kept in memory.
     pub directory: Option<PathBuf>,
@@ -39,36 +43,40 @@
 }
 
 /// Another member of the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Peer {
     /// Its number.
     pub id: u64,
     /// Where it listens for the store.
+    #[schemars(with = "String")]
     pub address: SocketAddr,
 }
 
 impl StoreOptions {
     /// A member that forgot its vote could vote twice, so those with peers need a directory.
-    fn check(&self) -> Result<(), ConfigError> {
-        let problem = match self {
-            Self { peers, .. } if peers.is_empty() => return Ok(()),
-            Self { directory: None, .. } => "a store with peers needs a directory",
-            Self { listen: None, .. } => "a store with peers needs an address to listen on",
-            Self { id, peers, .. } if peers.iter().any(|peer| peer.id == *id) => {
-                "a peer has this member's id"
-            }
-            _ => return Ok(()),
-        };
-        Err(ConfigError::Value(problem.to_owned()))
+    fn check(&self, faults: &mut Vec<Fault>) {
+        if self.peers.is_empty() {
+            return;
+        }
+        if self.directory.is_none() {
+            faults.push(Fault::new("store.directory", "", "a store with peers needs a directory"));
+        }
+        if self.listen.is_none() {
+            faults.push(Fault::new("store.listen", "", "a store with peers needs an address to listen on"));
+        }
+        for (at, peer) in self.peers.iter().enumerate().filter(|(_, peer)| peer.id == self.id) {
+            faults.push(Fault::new(format!("store.peers[{at}].id"), peer.id, "is this member's own id"));
+        }
     }
 }
 
 /// The AJP front.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Ajp {
     /// Where web servers connect.
+    #[schemars(with = "String")]
     pub listen: SocketAddr,
     /// The secret that requests must carry. It is never written anywhere.
     #[serde(default, skip_serializing)]
@@ -107,12 +115,76 @@
             std::fs::read_to_string(path).map_err(|cause| ConfigError::File { path: name.clone(), cause })?;
         let file: Self =
             toml::from_str(&text).map_err(|cause| ConfigError::Toml { path: name.clone(), cause })?;
-        file.store.check()?;
-        let servers = file.records.as_ref();
-        let checked = servers.map_or(Ok(()), RecordsTable::check);
-        match checked.and_then(|()| file.knowledge.check(servers.is_some())) {
-            Ok(()) => Ok(file),
-            Err((key, value, why)) => Err(ConfigError::Setting { path: name, key, value, why }),
+        let faults = file.faults(file.records.is_some());
+        if faults.is_empty() { Ok(file) } else { Err(ConfigError::Faults { path: name, faults }) }
+    }
+
+    /// Every value that cannot be used. A table of servers that cannot be read is there all the same.
+    fn faults(&self, has_servers: bool) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        self.store.check(&mut faults);
+        if let Some(records) = &self.records {
+            records.check(&mut faults);
         }
+        self.knowledge.check(has_servers, &mut faults);
+        faults
+    }
+
+    /// All that is wrong with a file of this text, where a start would stop at the first: each table is read by
+    /// itself, and those that can be read are held to their ranges.
+    pub fn check(text: &str) -> Vec<Fault> {
+        let tables: toml::Table = match toml::from_str(text) {
+            Ok(tables) => tables,
+            Err(problem) => return vec![Fault::new("", "", problem.to_string().trim_end())],
+        };
+        let mut faults = Vec::new();
+        let file = Self {
+            ajp: read_alone::<AjpAlone>(text, "ajp", &mut faults).ajp,
+            store: read_alone::<StoreAlone>(text, "store", &mut faults).store,
+            records: read_alone::<RecordsAlone>(text, "records", &mut faults).records,
+            knowledge: read_alone::<KnowledgeAlone>(text, "knowledge", &mut faults).knowledge,
+        };
+        let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
+        faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
+        faults.extend(file.faults(tables.contains_key("records")));
+        faults
+    }
+
+    /// The schema of the file.
+    pub fn schema() -> schemars::Schema {
+        schemars::schema_for!(Self)
     }
 }
+
+/// The tables of the file.
+const TABLES: [&str; 4] = ["ajp", "store", "records", "knowledge"];
+
+#[derive(Default, Deserialize)]
+struct AjpAlone {
+    ajp: Option<Ajp>,
+}
+
+#[derive(Default, Deserialize)]
+struct StoreAlone {
+    #[serde(default)]
+    store: StoreOptions,
+}
+
+#[derive(Default, Deserialize)]
+struct RecordsAlone {
+    records: Option<RecordsTable>,
+}
+
+#[derive(Default, Deserialize)]
+struct KnowledgeAlone {
+    #[serde(default)]
+    knowledge: KnowledgeTable,
+}
+
+/// One table of the file, with the others passed over; nothing where it cannot be read.
+fn read_alone<T: Default + DeserializeOwned>(text: &str, key: &str, faults: &mut Vec<Fault>) -> T {
+    toml::from_str(text).unwrap_or_else(|problem| {
+        faults.push(Fault::new(key, "", problem.to_string().trim_end()));
+        T::default()
+    })
+}
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -6,19 +6,18 @@
 use std::time::Duration;
 
 use ipnet::IpNet;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use super::fault::Fault;
 use crate::route::{Options, Spec};
 
 /// Servers and donors that a file names at the most.
 const MOST_SERVERS: usize = 10_000;
 const MOST_DONORS: usize = 8;
 
-/// A value that cannot be used: its key, itself, and why.
-pub(super) type Fault = (String, String, &'static str);
-
 /// The servers of the records service. With this table the platform's address for it is not used.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct RecordsTable {
     /// How they are chosen among.
@@ -30,48 +29,53 @@
 
 impl RecordsTable {
     /// Holds every value to its range.
-    pub(super) fn check(&self) -> Result<(), Fault> {
+    pub(super) fn check(&self, faults: &mut Vec<Fault>) {
         let c = &self.choice;
         let figures = [
-            ("cross_zone", c.cross_zone, 1.0, 100.0, "is not from 1 to 100"),
-            ("most_in_hand", c.most_in_hand, 1.0, 1e6, "is not from 1 to 1000000"),
-            ("most_out", c.most_out, 0.0, 0.9, "is not from 0 to 0.9"),
-            ("retry_share", c.retry_share, 0.0, 1.0, "is not from 0 to 1"),
-            ("warm_ms", c.warm_ms, 1.0, 3.6e6, "is not from 1 to 3600000"),
-            ("warm_from", c.warm_from, 0.01, 1.0, "is not from 0.01 to 1"),
+            ("cross_zone", c.cross_zone, 1.0, 100.0),
+            ("most_in_hand", c.most_in_hand, 1.0, 1e6),
+            ("most_out", c.most_out, 0.0, 0.9),
+            ("retry_share", c.retry_share, 0.0, 1.0),
+            ("warm_ms", c.warm_ms, 1.0, 3.6e6),
+            ("warm_from", c.warm_from, 0.01, 1.0),
         ];
-        if let Some((key, value, _, _, why)) =
-            figures.into_iter().find(|(_, v, least, most, _)| !(*least <= *v && *v <= *most))
-        {
-            return Err((format!("records.choice.{key}"), value.to_string(), why));
+        for (key, value, least, most) in figures {
+            within(format!("records.choice.{key}"), value, (least, most), faults);
         }
         if self.servers.is_empty() || self.servers.len() > MOST_SERVERS {
-            let count = self.servers.len().to_string();
-            return Err(("records.servers".to_owned(), count, "is not from 1 to 10000 servers"));
+            let why = format!("is not from 1 to {MOST_SERVERS} servers");
+            faults.push(Fault::new("records.servers", self.servers.len(), why));
         }
         let mut seen = HashSet::new();
         for (at, server) in self.servers.iter().enumerate() {
-            let key = |name: &str| format!("records.servers[{at}].{name}");
-            if !(0.01..=1000.0).contains(&server.weight) {
-                return Err((key("weight"), server.weight.to_string(), "is not from 0.01 to 1000"));
-            }
+            within(format!("records.servers[{at}].weight"), server.weight, (0.01, 1000.0), faults);
             if !seen.insert(server.address) {
-                return Err((key("address"), server.address.to_string(), "is named twice"));
+                let key = format!("records.servers[{at}].address");
+                faults.push(Fault::new(key, server.address, "is named twice"));
             }
         }
-        Ok(())
+    }
+}
+
+/// What is no number lies in no range.
+fn within(key: String, value: f64, (least, most): (f64, f64), faults: &mut Vec<Fault>) {
+    if !(least <= value && value <= most) {
+        faults.push(Fault::new(key, value, format!("is not from {least} to {most}")));
     }
 }
 
 /// What nodes tell each other of the servers.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct KnowledgeTable {
     /// Where others, and the operator, ask; without it nobody can.
+    #[schemars(with = "Option<String>")]
     pub listen: Option<SocketAddr>,
     /// The networks that may ask.
+    #[schemars(with = "Vec<String>")]
     pub allow: Vec<IpNet>,
     /// The nodes that are asked at the start.
+    #[schemars(with = "Vec<String>")]
     pub donors: Vec<SocketAddr>,
     /// How long a donor has for its answer, in ms; without it, 1 s.
     pub deadline_ms: Option<u64>,
@@ -89,25 +93,25 @@
     }
 
     /// Holds every value to its range; without servers there is nothing to tell of.
-    pub(super) fn check(&self, has_servers: bool) -> Result<(), Fault> {
-        if !has_servers && !self.is_off() {
-            return Err(("knowledge".to_owned(), "the table".to_owned(), "is of no use without [records]"));
+    pub(super) fn check(&self, has_servers: bool, faults: &mut Vec<Fault>) {
+        if self.is_off() {
+            return;
+        }
+        if !has_servers {
+            faults.push(Fault::new("knowledge", "", "the table is of no use without [records]"));
         }
-        let fault = |key: &str, value: String, why| Err((format!("knowledge.{key}"), value, why));
         if self.listen.is_some() && self.allow.is_empty() {
-            return fault("allow", "[]".to_owned(), "names no network, so nobody could ask");
+            faults.push(Fault::new("knowledge.allow", "[]", "names no network, so nobody could ask"));
         }
         if self.donors.len() > MOST_DONORS {
-            return fault("donors", self.donors.len().to_string(), "are over 8");
+            let why = format!("are over {MOST_DONORS}");
+            faults.push(Fault::new("knowledge.donors", self.donors.len(), why));
         }
-        if let Some(own) = self.donors.iter().find(|donor| Some(**donor) == self.listen) {
-            return fault("donors", own.to_string(), "is this node itself");
+        for (at, own) in self.donors.iter().enumerate().filter(|(_, donor)| Some(**donor) == self.listen) {
+            faults.push(Fault::new(format!("knowledge.donors[{at}]"), own, "is this node itself"));
         }
-        match self.deadline_ms {
-            Some(ms) if !(10..=60_000).contains(&ms) => {
-                fault("deadline_ms", ms.to_string(), "is not from 10 to 60000")
-            }
-            _ => Ok(()),
+        if let Some(ms) = self.deadline_ms.filter(|ms| !(10..=60_000).contains(ms)) {
+            faults.push(Fault::new("knowledge.deadline_ms", ms, "is not from 10 to 60000"));
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,13 +3,13 @@
 mod report;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use log::error;
-use sillflow::config::Config;
+use sillflow::config::{Config, Operator};
 use sillflow::peers::wire::{Subject, Told, answer_bytes};
 use sillflow::store::{Answer, Change, Query};
 use sillflow::{haproxy, node, peers, store};
@@ -31,6 +31,13 @@
         /// HAProxy's configuration.
         file: PathBuf,
     },
+    /// Names everything that is wrong with an operator's file.
+    Check {
+        /// The operator's file.
+        file: PathBuf,
+    },
+    /// Prints the JSON schema of the operator's file.
+    Schema,
     /// Prints all keys of the store that begin so, with versions and values.
     Get {
         /// What they begin with.
@@ -71,6 +78,8 @@
     let done = match Arguments::parse().command {
         None => serve(),
         Some(Command::Import { file }) => import(&file),
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Schema) => schema(),
         Some(Command::Get { prefix, at }) => ask(&at, Query::Read(prefix)),
         Some(Command::Knowledge { at, json }) => knowledge(at, json),
         Some(Command::Set { key, value, expect, at }) => {
@@ -96,6 +105,17 @@
     Ok(())
 }
 
+fn check(file: &Path) -> Result<(), Failure> {
+    let faults = Operator::check(&std::fs::read_to_string(file)?);
+    faults.iter().for_each(|fault| eprintln!("{}: {fault}", file.display()));
+    if faults.is_empty() { Ok(()) } else { Err(format!("{} faults", faults.len()).into()) }
+}
+
+fn schema() -> Result<(), Failure> {
+    println!("{}", serde_json::to_string_pretty(&Operator::schema())?);
+    Ok(())
+}
+
 fn import(file: &PathBuf) -> Result<(), Failure> {
     let text = std::fs::read_to_string(file)?;
     match haproxy::import(&text) {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use rand::Rng;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
@@ -48,7 +49,7 @@
 const LEAST: f64 = 1e-3;
 
 /// What the operator sets for a pool.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct Options {
     /// The zone of this node; empty where there are none.
--- a/src/route/server.rs
+++ b/src/route/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use super::estimate::{Mean, Rate};
@@ -12,10 +13,11 @@
 }
 
 /// A server as the operator names it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Spec {
     /// Where it is reached.
+    #[schemars(with = "String")]
     pub address: SocketAddr,
     /// Its zone; empty where there are none.
     #[serde(default)]
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -277,7 +277,7 @@
 #[case::network("[knowledge]\nallow = [\"10.0.0.0/40\"]", "10.0.0.0/40")]
 #[case::itself(
     "[records]\nservers = [{address = \"127.0.0.1:1\"}]\n[knowledge]\nlisten = \"127.0.0.1:1\"\nallow = [\"::/0\"]\ndonors = [\"127.0.0.1:1\"]",
-    "donors: 127.0.0.1:1"
+    "knowledge.donors[0]: 127.0.0.1:1"
 )]
 #[case::deadline(
     "[records]\nservers = [{address = \"127.0.0.1:1\"}]\n[knowledge]\ndeadline_ms = 0",
@@ -291,6 +291,8 @@
     let (file, operator) = (folder.join("config.json"), folder.join("operator.toml"));
     std::fs::write(&file, config(settings()).to_string()).expect("a file");
     std::fs::write(&operator, tables).expect("a file");
+    let (well, _, faults) = operate(&["check", operator.to_str().expect("a path")]);
+    assert!(!well && faults.contains("operator.toml") && faults.contains(named), "{faults}");
     let mut command = Command::new(env!("CARGO_BIN_EXE_sillflow"));
     let run =
         command.env("PROXY_CONFIG", &file).env("SILLFLOW_OPERATOR", &operator).output().expect("it runs");
@@ -301,3 +303,35 @@
         "{printed}"
     );
 }
+
+#[rstest]
+fn a_check_names_every_fault_at_once_and_the_schema_has_every_table() {
+    let folder = std::env::temp_dir().join(format!("sillflow-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("operator.toml");
+    let text = "[ajp]\nlisten = 1\n[store]\npeers = [{id = 0, address = \"127.0.0.1:1\"}]\n[records]\n\
+                servers = [{address = \"127.0.0.1:1\", weight = 0}, {address = \"127.0.0.1:1\"}]\n[frobs]\n";
+    std::fs::write(&file, text).expect("a file");
+    let path = file.to_str().expect("a path");
+    let (well, _, printed) = operate(&["check", path]);
+    let named = [
+        "ajp: ",
+        "store.directory: ",
+        "store.listen: ",
+        "store.peers[0].id: 0 ",
+        "records.servers[0].weight: 0 ",
+        "records.servers[1].address: 127.0.0.1:1 ",
+        "frobs: ",
+        "7 faults",
+    ];
+    for name in named {
+        assert!(!well && printed.contains(name), "no '{name}' in {printed}");
+    }
+    std::fs::write(&file, include_str!("../deploy/operator.toml")).expect("a file");
+    assert!(operate(&["check", path]).0, "the example is good");
+    let _ = std::fs::remove_dir_all(&folder);
+    let (_, schema, _) = operate(&["schema"]);
+    let schema: Value = serde_json::from_str(&schema).expect("JSON");
+    let tables = schema["properties"].as_object().expect("tables");
+    assert!(["ajp", "store", "records", "knowledge"].iter().all(|table| tables.contains_key(*table)));
+}
