Hold a server to its own connection time, not to the wait for room in the node

Need, found by reading: the bound on a connection to a named server ran while the call waited for room among the node's own connections, and would have counted against a server that was never asked.

Change: the bound holds the connection alone; a call that gets no room by its due time tells nothing of the server. Calls to the platform's proxy take the same steps as before.

--- a/src/back/records/mod.rs
+++ b/src/back/records/mod.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use self::http::{Reply, exchange};
 use crate::config::Peers;
@@ -198,9 +198,8 @@
 
     /// A connection from its first call to its end.
     async fn connection(self, address: SocketAddr, mut call: Timed) {
-        let until = if self.routes.is_some() { call.due().min(Instant::now() + CONNECT) } else { call.due() };
         let connected = tokio::select! {
-            connected = timeout_at(until, self.connect(address)) => connected,
+            connected = timeout_at(call.due(), self.connect(address)) => connected,
             _ = &mut call.call.given_up => return,
         };
         // Nothing was sent, so nothing can have begun.
@@ -208,12 +207,14 @@
             Ok(Ok(connected)) => connected,
             failed => {
                 let mut attempt = Attempt::of(Outcome::ConnectFailed);
-                if let Ok(Err(problem)) = failed {
-                    debug!("the tier below cannot be reached: {problem}");
-                    if problem.kind() == io::ErrorKind::ConnectionRefused {
-                        attempt.kind = Kind::Refused;
+                attempt.kind = match failed {
+                    Ok(Err(problem)) => {
+                        debug!("the tier below cannot be reached: {problem}");
+                        let refused = problem.kind() == io::ErrorKind::ConnectionRefused;
+                        if refused { Kind::Refused } else { Kind::Unreachable }
                     }
-                }
+                    _ => Kind::Withdrawn,
+                };
                 return self.ended(call, attempt).await;
             }
         };
@@ -233,7 +234,12 @@
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
         let room = self.room.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let stream = TcpStream::connect(address).await?;
+        // The wait for room above is no fault of the server's.
+        let connected = TcpStream::connect(address);
+        let stream = match self.routes {
+            Some(_) => timeout(CONNECT, connected).await??,
+            None => connected.await?,
+        };
         if let Err(problem) = stream.set_nodelay(true) {
             warn!("a connection cannot be set up: {problem}");
         }
