Measure a named server from when the call is sent, and end trials without safe calls

Found by reading the change again, each with a test that provokes it: - The wait for room among the node's own connections counted as time of the server that was chosen, and a call that never got as far as it was taken for a slow one. Time runs from the sending; a call that was not sent teaches nothing. - A server on trial waited for safe calls alone: a pool whose calls all have effects never got it back. After 20 s any call goes. - A server up for over a year, or a time out of every measure, made an honest digest one that is turned down whole. What is told lies within what is believed; the random histories check that at each step. - Three failures in a row had decayed below three calls when they were judged, so an early look never put a server out.

--- a/src/back/records/mod.rs
+++ b/src/back/records/mod.rs
@@ -146,7 +146,10 @@
         }
     }
 
-    /// Finds where a call goes. None where there is nobody.
+    /// Finds where a call goes.
+    ///
+    /// # Errors
+    /// The outcome of a call that goes nowhere, proven never to have begun.
     fn find(&self, call: &mut Timed) -> Result<SocketAddr, Outcome> {
         let Some(routes) = &self.routes else {
             return self.peers.borrow().records.ok_or(Outcome::ConnectFailed);
@@ -213,7 +216,7 @@
                         let refused = problem.kind() == io::ErrorKind::ConnectionRefused;
                         if refused { Kind::Refused } else { Kind::Unreachable }
                     }
-                    _ => Kind::Withdrawn,
+                    _ => Kind::Unsent,
                 };
                 return self.ended(call, attempt).await;
             }
@@ -284,6 +287,9 @@
     /// One call. To close the connection gives it up. False where it is of no further use.
     async fn make(&self, stream: &mut TcpStream, address: SocketAddr, mut call: Timed) -> bool {
         let request = call.encode(address);
+        if let Some(leg) = &mut call.leg {
+            leg.sent();
+        }
         let made = tokio::select! {
             made = timeout_at(call.due() + GRACE, exchange(stream, &request)) => made,
             _ = &mut call.call.given_up => return false,
--- a/src/knowledge/digest.rs
+++ b/src/knowledge/digest.rs
@@ -11,10 +11,11 @@
 /// The longest name of a teller, in bytes.
 const MOST_NAME: usize = 128;
 /// Bounds of the natural logarithm of a relative time: a factor of about 22,000 either way.
-const MOST_LOG: f64 = 10.0;
-/// The most samples that an item may claim, and the longest age or uptime, in ms (a year).
+pub const MOST_LOG: f64 = 10.0;
+/// The most samples that an item may claim.
 const MOST_SAMPLES: f64 = 1e9;
-const MOST_AGE_MS: f64 = 365.0 * 86_400_000.0;
+/// The longest age or uptime, in ms: a year.
+pub const MOST_AGE_MS: f64 = 365.0 * 86_400_000.0;
 
 /// One start of a server's process, as the server itself tells it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -24,7 +24,8 @@
 pub struct Leg {
     routes: Rc<Routes>,
     choice: Choice,
-    since: Instant,
+    /// When the call was sent: what it waits for within the node is no time of the server's.
+    sent: Option<Instant>,
     settled: bool,
 }
 
@@ -52,7 +53,7 @@
     pub fn choose(self: &Rc<Self>, work: f64, safe: bool, tried: &[ServerId]) -> Result<Leg, Full> {
         let mut rng = self.rng.borrow_mut();
         let choice = self.pool.borrow_mut().choose(self.now(), work, safe, tried, &mut *rng)?;
-        Ok(Leg { routes: self.clone(), choice, since: Instant::now(), settled: false })
+        Ok(Leg { routes: self.clone(), choice, sent: None, settled: false })
     }
 
     /// Whether a further attempt is within the budget, which it then counts to.
@@ -104,6 +105,11 @@
         self.choice.address
     }
 
+    /// The call is being sent.
+    pub fn sent(&mut self) {
+        self.sent = Some(Instant::now());
+    }
+
     /// Tells how the call ended there, and what the server said of its start.
     pub fn end(mut self, kind: Kind, run: Option<Run>) {
         self.settle(kind, run);
@@ -111,7 +117,7 @@
 
     fn settle(&mut self, kind: Kind, run: Option<Run>) {
         if !std::mem::replace(&mut self.settled, true) {
-            let ended = Ended { kind, took_ms: ms(self.since), run };
+            let ended = Ended { kind, took_ms: self.sent.map_or(0.0, ms), run };
             self.routes.pool.borrow_mut().ended(self.routes.now(), &self.choice, &ended);
         }
     }
@@ -119,6 +125,7 @@
 
 impl Drop for Leg {
     fn drop(&mut self) {
-        self.settle(Kind::Withdrawn, None);
+        let kind = if self.sent.is_some() { Kind::Withdrawn } else { Kind::Unsent };
+        self.settle(kind, None);
     }
 }
--- a/src/route/outlier.rs
+++ b/src/route/outlier.rs
@@ -5,8 +5,8 @@
 
 /// Own samples below which a server's times prove nothing.
 const LEAST_SAMPLES: f64 = 6.0;
-/// Calls below which its failures prove nothing.
-const LEAST_CALLS: f64 = 3.0;
+/// Calls below which its failures prove nothing: three that were not long ago.
+const LEAST_CALLS: f64 = 2.5;
 /// Servers measured below which there is no middle to stand out from.
 const LEAST_SERVERS: usize = 4;
 /// Robust standard deviations from the middle that make an outlier, the factor that makes a median absolute
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -13,7 +13,7 @@
 use super::estimate::Rate;
 use super::outlier::{Measured, median, outliers};
 use super::server::{Server, ServerId, Spec, Standing, Start, TRIALS};
-use crate::knowledge::{Digest, Heard, Inherited, Item, Merged, Prior, Run, Sample};
+use crate::knowledge::{Digest, Heard, Inherited, Item, MOST_AGE_MS, MOST_LOG, Merged, Prior, Run, Sample};
 
 /// Time between looks at the whole pool, and the least time before one that failures in a row call for, in ms.
 const REVIEW_MS: f64 = 1_000.0;
@@ -24,8 +24,9 @@
 const CROWD: f64 = 6.0;
 /// What a failure costs, in times of a usual call.
 const FAILURE_COST: f64 = 10.0;
-/// Share of safe calls that go to a server on trial, while there is one.
+/// Share of safe calls that go to a server on trial, while there is one, and how long it waits for one of those, in ms.
 const TRIAL_SHARE: f64 = 0.1;
+const TRIAL_WAITS_MS: f64 = 20_000.0;
 /// Share of safe calls that may go to a server because it was not measured for so long, in ms.
 const LOOK_SHARE: f64 = 0.02;
 const LOOK_AGE_MS: f64 = 20_000.0;
@@ -113,6 +114,8 @@
     Unreachable,
     /// It was given up, which tells of the server only that it took this long already.
     Withdrawn,
+    /// It never got as far as the server, for no fault of that one.
+    Unsent,
 }
 
 /// The end of a call.
@@ -238,7 +241,7 @@
     }
 
     /// Chooses a server for a call of so much work, and takes a place there. Servers that were `tried` for it are
-    /// left out while there are others. Only a call that is `safe` to repeat goes to a server on trial.
+    /// left out while there are others. A call that is `safe` to repeat is the first to go to a server on trial.
     ///
     /// # Errors
     /// No server has room.
@@ -254,8 +257,8 @@
             self.review(now);
         }
         let work = work.max(LEAST);
-        let looked =
-            if safe { self.on_trial(tried, rng).or_else(|| self.unmeasured(now, tried, rng)) } else { None };
+        let look = if safe { self.unmeasured(now, tried, rng) } else { None };
+        let looked = self.on_trial(now, safe, tried, rng).or(look);
         let id = looked.or_else(|| self.drawn(now, work, tried, rng)).or_else(|| self.any(now, work, tried));
         let id = id.ok_or(Full)?;
         let slowed = self.slowed(id, now);
@@ -273,13 +276,18 @@
         self.budget.take()
     }
 
-    fn on_trial(&self, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+    /// A server on trial, one call at a time. Where no safe call came for long any call goes: a pool that has none
+    /// would never get it back.
+    fn on_trial(&self, now: f64, safe: bool, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
         let trial = &self.eligible.trial;
         if trial.is_empty() || rng.random::<f64>() >= TRIAL_SHARE {
             return None;
         }
         let id = trial[rng.random_range(..trial.len())];
-        let free = |server: &Server| server.in_hand == 0 && matches!(server.standing, Standing::Trial { .. });
+        let free = |server: &Server| match server.standing {
+            Standing::Trial { since, .. } => server.in_hand == 0 && (safe || now - since >= TRIAL_WAITS_MS),
+            _ => false,
+        };
         (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
     }
 
@@ -382,7 +390,7 @@
         let log_time = self.sample(now, choice, ended);
         let failed = match ended.kind {
             Kind::Served => Some(false),
-            Kind::Withdrawn => None,
+            Kind::Withdrawn | Kind::Unsent => None,
             _ => Some(true),
         };
         let failing = self.usual_failing(now);
@@ -405,7 +413,7 @@
         let served = match ended.kind {
             Kind::Served => true,
             Kind::Failed | Kind::Withdrawn => false,
-            Kind::TurnedAway | Kind::Refused | Kind::Unreachable => return None,
+            Kind::TurnedAway | Kind::Refused | Kind::Unreachable | Kind::Unsent => return None,
         };
         let server = self.servers.get(choice.id)?;
         let expected = self.relative(server, &self.prior(choice.id, server, now), now);
@@ -433,7 +441,7 @@
                 server.refused_since.get_or_insert(now);
                 return;
             }
-            Kind::Unreachable | Kind::Withdrawn => return,
+            Kind::Unreachable | Kind::Withdrawn | Kind::Unsent => return,
             _ => {}
         }
         let run = ended.run.unwrap_or(Run { incarnation: None, up_ms: None });
@@ -466,7 +474,7 @@
             if let Standing::Out { until, times } = server.standing
                 && until <= now
             {
-                server.standing = Standing::Trial { left: TRIALS, times };
+                server.standing = Standing::Trial { left: TRIALS, times, since: now };
             }
         }
         self.put_out(now);
@@ -532,16 +540,16 @@
             let (failed, calls) = server.known.failures.counts(known_at);
             Some(Item {
                 address: server.spec.address,
-                log_time: server.known.times.mean(),
-                variance: server.known.times.variance().unwrap_or(USUAL_VARIANCE),
+                log_time: server.known.times.mean().clamp(-MOST_LOG, MOST_LOG),
+                variance: server.known.times.variance().unwrap_or(USUAL_VARIANCE).min(MOST_LOG * MOST_LOG),
                 samples: server.known.times.weight(known_at),
                 calls,
                 failed,
-                age_ms: (now - known_at).max(0.0),
+                age_ms: (now - known_at).clamp(0.0, MOST_AGE_MS),
                 out: server.standing != Standing::In,
                 run: Run {
                     incarnation: server.start.incarnation,
-                    up_ms: server.start.at.map(|at| (now - at).max(0.0)),
+                    up_ms: server.start.at.map(|at| (now - at).clamp(0.0, MOST_AGE_MS)),
                 },
             })
         };
@@ -573,7 +581,8 @@
         let unknown = |server: &Server| server.standing == Standing::In && server.measured().is_none();
         let told =
             self.servers.iter_mut().filter(|(id, server)| unknown(server) && inherited.is_out(*id, now));
-        told.take(room).for_each(|(_, server)| server.standing = Standing::Trial { left: TRIALS, times: 0 });
+        let standing = Standing::Trial { left: TRIALS, times: 0, since: now };
+        told.take(room).for_each(|(_, server)| server.standing = standing);
     }
 
     /// How many more servers may be put out.
--- a/src/route/server.rs
+++ b/src/route/server.rs
@@ -50,6 +50,8 @@
         left: u32,
         /// How often it was put out in a row.
         times: u32,
+        /// When the trial began, or its last call ended.
+        since: f64,
     },
 }
 
@@ -158,11 +160,12 @@
 
     /// Counts a call of a trial.
     pub(super) fn tried(&mut self, now: f64, good: bool) {
-        let Standing::Trial { left, times } = self.standing else { return };
+        let Standing::Trial { left, times, .. } = self.standing else { return };
         if !good {
             return self.put_out(now);
         }
-        self.standing = if left > 1 { Standing::Trial { left: left - 1, times } } else { Standing::In };
+        self.standing =
+            if left > 1 { Standing::Trial { left: left - 1, times, since: now } } else { Standing::In };
     }
 
     /// Calls in hand beside its size.
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -244,6 +244,38 @@
     assert!(together.iter().any(|choice| choice.address == at(restarted)), "warm, it has its share");
 }
 
+#[rstest]
+fn a_call_that_never_got_as_far_as_a_server_tells_nothing_of_it() {
+    let mut play = Play::new(4);
+    play.calls(50, served);
+    let known = play.pool.digest(play.now, "me");
+    let choice = play.choose();
+    play.end(&choice, Kind::Unsent, 60_000.0);
+    assert_eq!(play.pool.digest(play.now, "me"), known);
+    assert_eq!(play.pool.in_hand(), 0, "its place is free again");
+}
+
+#[rstest]
+fn a_server_comes_back_though_no_call_is_safe() {
+    let mut play = Play::new(4);
+    let bad = |server| if server == 0 { (Kind::Failed, 100.0) } else { served(server) };
+    play.measure(4, bad);
+    play.calls(5, bad);
+    assert_eq!(play.out(), [at(0)]);
+    let trials = |play: &mut Play, calls: usize| {
+        let went = (0..calls).filter(|_| {
+            let choice = play.pool.choose(play.now, 1.0, false, &[], &mut play.rng).expect("room");
+            play.now += 20.0;
+            play.end(&choice, Kind::Served, 100.0);
+            choice.address == at(0)
+        });
+        went.count()
+    };
+    assert_eq!(trials(&mut play, 500), 0, "safe calls have the first turn");
+    assert!(trials(&mut play, 5000) >= 3);
+    assert!(play.out().is_empty());
+}
+
 #[rstest]
 fn servers_come_and_go_with_calls_in_hand() {
     let mut play = Play::new(3);
@@ -278,6 +310,7 @@
                 let kinds = [Kind::Served, Kind::Failed, Kind::Refused, Kind::Withdrawn];
                 play.end(&choice, kinds[usize::from(step) - 4], ms);
             }
+            prop_assert!(play.pool.digest(play.now, "me").check().is_ok(), "what it tells can be believed");
             prop_assert_eq!(play.pool.in_hand(), open.len() as u64);
             let beliefs = play.pool.beliefs(play.now);
             for belief in &beliefs {
@@ -424,6 +457,17 @@
     assert!(ages.map(|heard| heard.age_ms).all(|age| (0.0..1_000.0).contains(&age)));
 }
 
+#[rstest]
+fn a_server_that_is_up_for_years_or_of_no_measure_does_not_discredit_its_teller() {
+    let mut play = Play::new(1);
+    play.run = Some(Run { incarnation: None, up_ms: Some(4e9) });
+    play.calls(1, served);
+    play.now += 40.0 * 365.0 * 86_400_000.0;
+    play.run = None;
+    play.calls(2, |_| (Kind::Served, 1e300));
+    assert_eq!(play.pool.digest(play.now, "me").check(), Ok(()));
+}
+
 #[rstest]
 fn only_what_was_measured_travels_on() {
     let mut play = told(|_| ());
