Give each directory of the store an identity, and let members change in service

A member that came back with an empty directory voted again under its old number. Seen with three real processes: member 3 away, a write acknowledged by 1 and 2, both killed, the disk of 2 wiped, 2 and 3 started: they elected a leader without the write, and it stayed lost when 1 came back.

A directory gets a random word at its first start, by which the consensus library knows its member; copies are told by the file, old ones by a mark that other members keep. A store is formed only by all of its named members; a blank one is taken in as a learner and takes the place of the member that it was. `store join|promote|leave|replace| members|status|backup|restore|verify`. Each change carries a word under which it counts once, so that it can be tried again; before, a forwarded change could be made twice. Rows carry digests and commits are made in two phases. The fault rig: processes behind a relay, drawn plays of faults, a checker of histories.

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -38,10 +38,25 @@
     pub listen: Option<SocketAddr>,
     /// Where it is kept over a restart; without it, it is kept in memory.
     pub directory: Option<PathBuf>,
-    /// The other members.
+    /// Where others reach this member, where that is not where it listens.
+    #[schemars(with = "Option<String>")]
+    pub address: Option<SocketAddr>,
+    /// The other members that a new directory is brought in by: all of those that a store is formed of, or some of one
+    /// that is there.
     pub peers: Vec<Peer>,
+    /// A new directory only ever joins a store that is there.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub joins: bool,
+    /// This member only follows until it takes the place of one that is lost.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub spare: bool,
+    /// A voter that is silent for so long is replaced where a spare is there, in ms; without it, an operator does.
+    pub replace_after_ms: Option<u64>,
 }
 
+/// A voter is not given up sooner than this, in ms: it may only be starting anew.
+const SOONEST_REPLACED: u64 = 3000;
+
 /// Another member of the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -56,6 +71,15 @@
 impl StoreOptions {
     /// A member that forgot its vote could vote twice, so those with peers need a directory.
     fn check(&self, faults: &mut Vec<Fault>) {
+        if let Some(ms) = self.replace_after_ms.filter(|ms| *ms < SOONEST_REPLACED) {
+            let bound = format!("is under {SOONEST_REPLACED}: a member that starts anew would be given up");
+            faults.push(Fault::new("store.replace_after_ms", ms, bound));
+        }
+        for (key, on) in [("joins", self.joins), ("spare", self.spare)] {
+            if on && self.peers.is_empty() {
+                faults.push(Fault::new(format!("store.{key}"), "true", "needs peers to join"));
+            }
+        }
         if self.peers.is_empty() {
             return;
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: a node, and the commands of its operator.
 
+mod command;
 mod report;
 
 use std::net::SocketAddr;
@@ -11,8 +12,8 @@
 use log::error;
 use sillflow::config::{Config, Operator};
 use sillflow::peers::wire::{Subject, Told, answer_bytes};
-use sillflow::store::{Answer, Change, Query};
-use sillflow::{haproxy, node, peers, store};
+use sillflow::store::{Change, Query};
+use sillflow::{haproxy, node, peers};
 use tokio::task::LocalSet;
 
 /// A service node with an overload controller inside. Without a command it runs the node that its environment
@@ -46,6 +47,9 @@
         /// Where a member of the store listens.
         #[arg(long)]
         at: String,
+        /// As this one member has them, without asking a majority; says how old that is.
+        #[arg(long)]
+        local: bool,
     },
     /// Prints what a node believes of each server, from whom and how old.
     Knowledge {
@@ -69,6 +73,9 @@
         #[arg(long)]
         at: String,
     },
+    /// The members of the store, and what it holds as a whole.
+    #[command(subcommand)]
+    Store(command::Store),
 }
 
 type Failure = Box<dyn std::error::Error>;
@@ -80,11 +87,10 @@
         Some(Command::Import { file }) => import(&file),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Schema) => schema(),
-        Some(Command::Get { prefix, at }) => ask(&at, Query::Read(prefix)),
+        Some(Command::Get { prefix, at, local }) => command::ask(&at, Query::Read { prefix, local }),
         Some(Command::Knowledge { at, json }) => knowledge(at, json),
-        Some(Command::Set { key, value, expect, at }) => {
-            ask(&at, Query::Change(Change { key, value, expect }))
-        }
+        Some(Command::Set { key, value, expect, at }) => command::set(&at, Change { key, value, expect }),
+        Some(Command::Store(store)) => store.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -148,21 +154,3 @@
     }
     Ok(())
 }
-
-fn ask(at: &str, query: Query) -> Result<(), Failure> {
-    match runtime()?.block_on(store::ask(at, query))? {
-        Answer::Contents(found) => {
-            found.iter().for_each(|(key, now)| println!("{key}\t{}\t{}", now.version, now.value));
-            Ok(())
-        }
-        Answer::Changed(outcome) if outcome.changed => {
-            println!("{}", outcome.version);
-            Ok(())
-        }
-        Answer::Changed(outcome) => {
-            Err(format!("not changed: the key is at version {}", outcome.version).into())
-        }
-        Answer::NoLeader => Err("no member of the store leads".into()),
-        Answer::Failed(problem) => Err(problem.into()),
-    }
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -219,7 +219,11 @@
 async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, exchange: Handle) {
     let mut known = false;
     loop {
-        let wished = contents.borrow_and_update().get(&key) == Some("on");
+        let wished = {
+            let contents = contents.borrow_and_update();
+            // A member that begins anew has nothing yet, which is not a wish.
+            if contents.applied().is_some() { contents.get(&key) == Some("on") } else { known }
+        };
         if wished != known {
             info!("maintenance {}", if wished { "on" } else { "off" });
             exchange.tell(Input::Maintenance(wished)).await;
--- a/src/report.rs
+++ b/src/report.rs
@@ -4,6 +4,7 @@
 use comfy_table::presets::NOTHING;
 use sillflow::peers::wire::Beliefs;
 use sillflow::route::{Belief, Standing};
+use sillflow::store::{MemberView, Status};
 
 fn seconds(ms: Option<f64>) -> String {
     ms.map_or_else(|| "-".to_owned(), |ms| format!("{:.1}", ms / 1000.0))
@@ -60,3 +61,48 @@
     let trusted: String = beliefs.tellers.iter().map(trust).collect();
     format!("{}\n{}\n{trusted}", beliefs.node, table.trim_fmt())
 }
+
+fn or_dash(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+/// The members of the store.
+pub fn members(members: &[MemberView]) -> String {
+    let mut table = Table::new();
+    table.load_style(NOTHING).set_header([
+        "number",
+        "address",
+        "role",
+        "spare",
+        "behind",
+        "heard s ago",
+        "word",
+    ]);
+    for view in members {
+        table.add_row([
+            view.place.number.to_string(),
+            view.place.address.clone(),
+            format!("{:?}", view.role).to_lowercase(),
+            if view.place.spare { "yes" } else { "" }.to_owned(),
+            or_dash(view.behind),
+            seconds(view.silent_ms.map(|ms| ms as f64)),
+            view.member.clone(),
+        ]);
+    }
+    format!("{}\n", table.trim_fmt())
+}
+
+/// How one member of the store stands.
+pub fn status(status: &Status) -> String {
+    let lines = [
+        ("member", format!("{} ({})", status.number, status.member)),
+        ("cluster", or_dash(status.cluster.as_ref())),
+        ("role", format!("{:?}", status.role).to_lowercase()),
+        ("leader", or_dash(status.leader)),
+        ("term", status.term.to_string()),
+        ("log", format!("{}, in the map {}", or_dash(status.last), or_dash(status.applied))),
+        ("snapshot", or_dash(status.snapshot)),
+        ("keys", format!("{}, {} bytes", status.keys, status.bytes)),
+    ];
+    lines.iter().map(|(name, value)| format!("{name:9} {value}\n")).collect()
+}
--- /dev/null
+++ b/src/store/lossy.rs
@@ -0,0 +1,222 @@
+//! A disk that loses, or tears, what was not synced when the power goes; and what a member's log must hold behind it:
+//! all that was acknowledged, or a plain word that it is damaged.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use openraft::{CommittedLeaderId, Entry, EntryPayload, LogId};
+use proptest::prelude::*;
+use redb::StorageBackend;
+
+use super::decide::identity::Identity;
+use super::disk::Disk;
+use super::map::{Deed, Logged};
+use super::{Change, Types};
+
+/// A write, or a new length, that waits for a sync.
+#[derive(Clone, Debug)]
+enum Waiting {
+    Write(u64, Vec<u8>),
+    Length(u64),
+}
+
+#[derive(Debug, Default)]
+struct Platter {
+    synced: Vec<u8>,
+    now: Vec<u8>,
+    waiting: Vec<Waiting>,
+    /// Syncs until the power goes; none while it lasts.
+    left: Option<u32>,
+}
+
+fn apply(bytes: &mut Vec<u8>, waiting: &Waiting) {
+    match waiting {
+        Waiting::Length(length) => bytes.resize(*length as usize, 0),
+        Waiting::Write(at, data) => {
+            let end = *at as usize + data.len();
+            bytes.resize(bytes.len().max(end), 0);
+            bytes[*at as usize..end].copy_from_slice(data);
+        }
+    }
+}
+
+/// The backend; clones share the platter.
+#[derive(Clone, Debug, Default)]
+struct Lossy(Arc<Mutex<Platter>>);
+
+impl Lossy {
+    /// What is on the platter when the power is back: of what waited, in any order, what `survives` says, the last one
+    /// torn in its middle where it says so too.
+    fn after_the_loss(&self, survives: u64) -> Self {
+        let platter = self.0.lock().expect("a lock");
+        let mut synced = platter.synced.clone();
+        for (n, waiting) in platter.waiting.iter().enumerate().filter(|(n, _)| survives >> (n % 63) & 1 == 1)
+        {
+            match waiting {
+                Waiting::Write(at, data) if n % 3 == 0 => {
+                    apply(&mut synced, &Waiting::Write(*at, data[..data.len() / 2].to_vec()));
+                }
+                waiting => apply(&mut synced, waiting),
+            }
+        }
+        let now = synced.clone();
+        Self(Arc::new(Mutex::new(Platter { synced, now, ..Platter::default() })))
+    }
+
+    fn turn_over(&self, at: usize) {
+        let mut platter = self.0.lock().expect("a lock");
+        let at = at % platter.now.len();
+        platter.now[at] ^= 0x40;
+    }
+}
+
+impl StorageBackend for Lossy {
+    fn len(&self) -> Result<u64, io::Error> {
+        Ok(self.0.lock().expect("a lock").now.len() as u64)
+    }
+
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>, io::Error> {
+        let platter = self.0.lock().expect("a lock");
+        let found = platter.now.get(offset as usize..offset as usize + len);
+        found.map(<[u8]>::to_vec).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), io::Error> {
+        let mut platter = self.0.lock().expect("a lock");
+        apply(&mut platter.now, &Waiting::Length(len));
+        platter.waiting.push(Waiting::Length(len));
+        Ok(())
+    }
+
+    fn sync_data(&self, _eventual: bool) -> Result<(), io::Error> {
+        let mut platter = self.0.lock().expect("a lock");
+        if platter.left == Some(0) {
+            return Err(io::Error::other("the power is gone"));
+        }
+        platter.left = platter.left.map(|left| left - 1);
+        let waiting = std::mem::take(&mut platter.waiting);
+        waiting.iter().for_each(|waiting| apply(&mut platter.synced, waiting));
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), io::Error> {
+        let mut platter = self.0.lock().expect("a lock");
+        let write = Waiting::Write(offset, data.to_vec());
+        apply(&mut platter.now, &write);
+        platter.waiting.push(write);
+        Ok(())
+    }
+}
+
+fn entry(index: u64, length: usize) -> Entry<Types> {
+    let change = Change { key: format!("k{index}"), value: Some("x".repeat(length)), expect: None };
+    let payload = EntryPayload::Normal(Logged { tag: index, since: 0, deed: Deed::Change(change) });
+    Entry { log_id: LogId::new(CommittedLeaderId::new(1, 1), index), payload }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Append(u64, usize),
+    Cut(u64),
+    Mark,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (1..4u64, 1..3000usize).prop_map(|(count, length)| Step::Append(count, length)),
+        1 => (0..3u64).prop_map(Step::Cut),
+        1 => Just(Step::Mark),
+    ];
+    proptest::collection::vec(step, 1..14)
+}
+
+/// What a member was told is kept.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Promised {
+    entries: BTreeMap<u64, usize>,
+    mark: u64,
+}
+
+/// Does the steps until one fails; what was promised, and what the step that failed would have added.
+fn carry_out(disk: &Disk, mut identity: Identity, steps: &[Step]) -> (Promised, Promised) {
+    let mut promised = Promised::default();
+    for step in steps {
+        let mut next = promised.clone();
+        let end = promised.entries.last_key_value().map_or(0, |(index, _)| index + 1);
+        let done = match step {
+            Step::Append(count, length) => {
+                next.entries.extend((end..end + count).map(|index| (index, *length)));
+                disk.add((end..end + count).map(|index| entry(index, *length)))
+            }
+            Step::Cut(back) => {
+                let from = end.saturating_sub(*back);
+                next.entries.retain(|index, _| *index < from);
+                disk.cut(from)
+            }
+            Step::Mark => {
+                identity.mark += 1;
+                next.mark = identity.mark;
+                disk.save_identity(&identity)
+            }
+        };
+        if done.is_err() {
+            return (promised, next);
+        }
+        promised = next;
+    }
+    (promised.clone(), promised)
+}
+
+fn held(disk: &Disk, identity: &Identity) -> Promised {
+    let entries = disk.log().expect("each row is whole");
+    let length = |entry: &Entry<Types>| match &entry.payload {
+        EntryPayload::Normal(Logged { deed: Deed::Change(change), .. }) => {
+            change.value.as_ref().map_or(0, String::len)
+        }
+        _ => 0,
+    };
+    Promised {
+        entries: entries.iter().map(|entry| (entry.log_id.index, length(entry))).collect(),
+        mark: identity.mark,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The power goes at any sync, and any part of what was not synced is lost or torn.
+    #[test]
+    fn what_was_acknowledged_is_there_after_a_loss_of_power(
+        steps in steps(),
+        syncs in 0..40u32,
+        survives in any::<u64>(),
+    ) {
+        let lossy = Lossy::default();
+        let opened = Disk::open_backend(lossy.clone(), 7).expect("a disk");
+        lossy.0.lock().expect("a lock").left = Some(syncs);
+        let (promised, almost) = carry_out(&opened.disk, opened.identity, &steps);
+        // What the process would do at its end is not done.
+        let after = lossy.after_the_loss(survives);
+        let opened = Disk::open_backend(after, 8).expect("it opens");
+        prop_assert_eq!(opened.identity.member, 7);
+        let held = held(&opened.disk, &opened.identity);
+        prop_assert!(held == promised || held == almost, "{:?} is neither {:?} nor {:?}", held, promised, almost);
+    }
+
+    /// A byte turns over anywhere: the directory is refused, or all is there.
+    #[test]
+    fn a_byte_that_turns_over_is_found(steps in steps(), at in any::<usize>()) {
+        let lossy = Lossy::default();
+        let opened = Disk::open_backend(lossy.clone(), 7).expect("a disk");
+        let (promised, _) = carry_out(&opened.disk, opened.identity, &steps);
+        drop(opened.disk);
+        let copy = lossy.after_the_loss(0);
+        copy.turn_over(at);
+        let refused = std::panic::catch_unwind(|| Disk::open_backend(copy, 8).ok());
+        if let Ok(Some(opened)) = refused {
+            prop_assert_eq!(opened.identity.member, 7);
+            prop_assert_eq!(held(&opened.disk, &opened.identity), promised);
+        }
+    }
+}
--- a/src/store/map.rs
+++ b/src/store/map.rs
@@ -1,18 +1,23 @@
 //! The map itself, as the state machine of the consensus library.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Cursor;
+use std::sync::Arc;
 
 use openraft::storage::RaftStateMachine;
 use openraft::{
-    BasicNode, Entry, EntryPayload, LogId, OptionalSend, RaftSnapshotBuilder, Snapshot, SnapshotMeta,
+    Entry, EntryPayload, LogId, Membership, OptionalSend, RaftSnapshotBuilder, Snapshot, SnapshotMeta,
     StorageError, StorageIOError, StoredMembership,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use super::disk::Disk;
-use super::{Change, MOST_KEYS, Outcome, Types};
+use super::decide::members::Place;
+use super::disk::{Disk, DiskError};
+use super::{Change, Denied, MOST_KEYS, MOST_TOTAL, Outcome, Types};
+
+/// Numbers that stand for something special at the most.
+const MOST_ROSTER: usize = 64;
 
 /// A value and the version at which it was set: versions only ever grow, over all keys.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,12 +28,50 @@
     pub version: u64,
 }
 
+/// What a number stands for beside its member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Roster {
+    /// Nothing special: the entry is taken out.
+    Usual,
+    /// It has left, and is taken in again only when an operator says so.
+    Left,
+    /// It was lost and replaced: when it comes back it is a spare.
+    Replaced,
+}
+
+/// An entry of the log that is no change of members.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Logged {
+    /// A random word under which it counts once, however often it is tried.
+    pub tag: u64,
+    /// Where the log was when the first try began: one that comes much later is not made any more.
+    pub since: u64,
+    /// What it does.
+    pub deed: Deed,
+}
+
+/// What an entry does.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Deed {
+    /// Changes a key.
+    Change(Change),
+    /// Says what a number stands for.
+    Roster(u64, Roster),
+}
+
+/// Entries over which the outcome of a change is remembered. A try that comes later is not made.
+pub const REMEMBERED: u64 = 2048;
+
 /// All that a member holds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Contents {
     applied: Option<LogId<u64>>,
-    members: StoredMembership<u64, BasicNode>,
+    members: StoredMembership<u64, Place>,
     map: BTreeMap<String, Versioned>,
+    bytes: usize,
+    roster: BTreeMap<u64, Roster>,
+    outcomes: BTreeMap<u64, Outcome>,
+    tags: VecDeque<(u64, u64)>,
 }
 
 impl Contents {
@@ -43,26 +86,106 @@
         found.map(|(key, value)| (key.clone(), value.clone())).collect()
     }
 
+    /// A state that begins with these keys, as of this entry, with one member.
+    pub fn planted(applied: LogId<u64>, member: u64, place: Place, map: BTreeMap<String, Versioned>) -> Self {
+        let nodes = BTreeMap::from([(member, place)]);
+        let membership = Membership::new(vec![BTreeSet::from([member])], nodes);
+        let bytes = map.iter().map(|(key, now)| key.len() + now.value.len()).sum();
+        let members = StoredMembership::new(Some(applied), membership);
+        Self { applied: Some(applied), members, map, bytes, ..Self::default() }
+    }
+
+    /// The last entry that is in it.
+    pub fn applied(&self) -> Option<LogId<u64>> {
+        self.applied
+    }
+
+    /// The members as of that entry.
+    pub fn members(&self) -> &StoredMembership<u64, Place> {
+        &self.members
+    }
+
+    /// What a number stands for.
+    pub fn roster(&self, number: u64) -> Roster {
+        self.roster.get(&number).copied().unwrap_or(Roster::Usual)
+    }
+
+    /// How many keys there are.
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    /// Bytes of all keys and values.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     fn change(&mut self, change: Change, version: u64) -> Outcome {
-        let now = self.map.get(&change.key).map_or(0, |versioned| versioned.version);
-        let fits = now != 0 || change.value.is_none() || self.map.len() < MOST_KEYS;
-        if !fits || change.expect.is_some_and(|expected| expected != now) {
-            return Outcome { changed: false, version: now };
+        let now = self.map.get(&change.key);
+        let size = now.map_or(0, |now| change.key.len() + now.value.len());
+        let now = now.map_or(0, |now| now.version);
+        let more = change.value.as_ref().map_or(0, |value| change.key.len() + value.len());
+        let fits = more <= size
+            || (self.bytes - size + more <= MOST_TOTAL && (now != 0 || self.map.len() < MOST_KEYS));
+        if change.expect.is_some_and(|expected| expected != now) {
+            return Outcome { changed: false, version: now, denied: None };
         }
+        if !fits {
+            return Outcome { changed: false, version: now, denied: Some(Denied::Full) };
+        }
+        self.bytes = self.bytes - size + more;
         match change.value {
             Some(value) => {
                 self.map.insert(change.key, Versioned { value, version });
-                Outcome { changed: true, version }
+                Outcome { changed: true, version, denied: None }
             }
-            None => Outcome { changed: self.map.remove(&change.key).is_some(), version: 0 },
+            None => Outcome { changed: self.map.remove(&change.key).is_some(), version: 0, denied: None },
+        }
+    }
+
+    /// Does what an entry says, once over all tries of it.
+    fn perform(&mut self, logged: Logged, index: u64) -> Outcome {
+        if let Some(known) = self.outcomes.get(&logged.tag) {
+            return known.clone();
+        }
+        if index > logged.since + REMEMBERED {
+            return Outcome { denied: Some(Denied::Late), ..Outcome::default() };
+        }
+        let outcome = match logged.deed {
+            Deed::Change(change) => self.change(change, index),
+            Deed::Roster(number, Roster::Usual) => {
+                Outcome { changed: self.roster.remove(&number).is_some(), ..Outcome::default() }
+            }
+            Deed::Roster(number, stands) => {
+                let room = self.roster.len() < MOST_ROSTER || self.roster.contains_key(&number);
+                let changed = room && self.roster.insert(number, stands) != Some(stands);
+                Outcome { changed, denied: (!room).then_some(Denied::Full), ..Outcome::default() }
+            }
+        };
+        self.outcomes.insert(logged.tag, outcome.clone());
+        self.tags.push_back((index, logged.tag));
+        outcome
+    }
+
+    /// Outcomes that no try may ask for any more are forgotten.
+    fn forget(&mut self, index: u64) {
+        while let Some((_, tag)) = self.tags.front().copied().filter(|(at, _)| *at + REMEMBERED < index) {
+            self.tags.pop_front();
+            self.outcomes.remove(&tag);
         }
     }
 
     fn apply(&mut self, entry: Entry<Types>) -> Outcome {
         self.applied = Some(entry.log_id);
+        self.forget(entry.log_id.index);
         match entry.payload {
             EntryPayload::Blank => Outcome::default(),
-            EntryPayload::Normal(change) => self.change(change, entry.log_id.index),
+            EntryPayload::Normal(logged) => self.perform(logged, entry.log_id.index),
             EntryPayload::Membership(members) => {
                 self.members = StoredMembership::new(Some(entry.log_id), members);
                 Outcome::default()
@@ -86,7 +209,7 @@
 /// The map with its place on disk.
 pub(super) struct StateMachine {
     disk: Disk,
-    shown: watch::Sender<Contents>,
+    shown: Arc<watch::Sender<Contents>>,
 }
 
 /// Builds snapshots of the map as it was when this was made.
@@ -97,11 +220,12 @@
 
 impl StateMachine {
     /// The map as of the last snapshot; the log brings it up to date.
-    pub fn new(disk: Disk, shown: watch::Sender<Contents>) -> Self {
-        if let Ok(Some(contents)) = disk.snapshot() {
-            shown.send_replace(contents);
-        }
-        Self { disk, shown }
+    ///
+    /// # Errors
+    /// The snapshot cannot be read.
+    pub fn new(disk: Disk, shown: Arc<watch::Sender<Contents>>) -> Result<Self, DiskError> {
+        shown.send_replace(disk.snapshot()?.unwrap_or_default());
+        Ok(Self { disk, shown })
     }
 }
 
@@ -117,7 +241,7 @@
 
     async fn applied_state(
         &mut self,
-    ) -> Result<(Option<LogId<u64>>, StoredMembership<u64, BasicNode>), StorageError<u64>> {
+    ) -> Result<(Option<LogId<u64>>, StoredMembership<u64, Place>), StorageError<u64>> {
         let contents = self.shown.borrow();
         Ok((contents.applied, contents.members.clone()))
     }
@@ -144,7 +268,7 @@
 
     async fn install_snapshot(
         &mut self,
-        meta: &SnapshotMeta<u64, BasicNode>,
+        meta: &SnapshotMeta<u64, Place>,
         snapshot: Box<Cursor<Vec<u8>>>,
     ) -> Result<(), StorageError<u64>> {
         let signature = Some(meta.signature());
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,9 +1,19 @@
-//! The node's own store: a small versioned map of configuration and operator state, replicated among the members
-//! that the operator's file names. It has a thread of its own: nothing of it stands in the way of a request.
-//! Without that part of the file there is one member, in memory, and no socket.
+//! The node's own store: a small versioned map of configuration and operator state, replicated among members that may
+//! change in service. It has a thread of its own: nothing of it stands in the way of a request. Without its part of the
+//! operator's file there is one member, in memory, and no socket.
+//!
+//! What is promised, and what is not, stands in `docs/design-store.md`.
 
+mod backup;
+mod decide;
 mod disk;
+mod door;
+mod enter;
+#[cfg(test)]
+mod lossy;
 mod map;
+mod member;
+mod steward;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -11,37 +21,32 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, error, info, warn};
-use openraft::error::{ClientWriteError, ForwardToLeader, RaftError};
-use openraft::{BasicNode, Raft};
+use log::{error, info, warn};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::config::StoreOptions;
-use disk::Disk;
-use map::StateMachine;
+use decide::members::Place;
+use enter::{End, Session};
 
-pub use map::{Contents, Versioned};
+pub use backup::{Backup, BackupError, restore, verify_directory};
+pub use map::{Contents, Roster, Versioned};
 pub use wire::ask;
 
 openraft::declare_raft_types!(
     /// The types that the consensus library works with.
-    pub Types: D = Change, R = Outcome
+    pub Types: D = map::Logged, R = Outcome, Node = Place
 );
 
-/// Time between heartbeats, and the least and most time without one before a member stands for election, in ms.
-const HEARTBEAT_MS: u64 = 200;
-const ELECTION_MS: (u64, u64) = (800, 1600);
-/// Log entries between two snapshots.
-const SNAPSHOT_LOGS: u64 = 500;
-/// Times that a change is tried again while there is no leader, and the wait between.
-const TRIES: u32 = 20;
-const TRY_WAIT: Duration = Duration::from_millis(250);
-/// Keys, and bytes of a key and its value, that the map holds at the most.
+/// Keys, and bytes of a key and its value, that the map holds at the most, and of all keys and values together.
 const MOST_KEYS: usize = 4096;
 const MOST_BYTES: usize = 64 * 1024;
+const MOST_TOTAL: usize = 4 * 1024 * 1024;
+/// How long a member whose disk fails waits before it opens it again.
+const REOPEN: Duration = Duration::from_secs(2);
 
 /// A change to the map.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -61,6 +66,17 @@
     pub changed: bool,
     /// The version that the key is at now; 0 where it is not there.
     pub version: u64,
+    /// Why it was not made, where the version is not the reason.
+    pub denied: Option<Denied>,
+}
+
+/// Why a change is not made, whatever version its key is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Denied {
+    /// The store holds as much as it may.
+    Full,
+    /// It came through so late that an earlier try of it may be forgotten.
+    Late,
 }
 
 /// What a member of the store, or a program beside it, may ask.
@@ -68,8 +84,58 @@
 pub enum Query {
     /// Make a change.
     Change(Change),
-    /// Read all keys that begin so, as of now.
-    Read(String),
+    /// Read all keys that begin so.
+    Read {
+        /// What they begin with.
+        prefix: String,
+        /// As this member has them, rather than as of now.
+        local: bool,
+    },
+    /// Everything that a backup holds.
+    Backup,
+    /// The members, as the one that leads sees them.
+    Members,
+    /// How this member stands.
+    Status,
+    /// A blank member asks to be taken in.
+    Admit {
+        /// Its word.
+        member: u64,
+        /// How it is reached.
+        place: Place,
+    },
+    /// An operator's wish.
+    Wish(Wish),
+}
+
+/// A change of members that an operator wishes, by the numbers of the members.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Wish {
+    /// Take in the blank member at this address, as a learner.
+    Join(String),
+    /// Let a learner vote.
+    Promote(u64),
+    /// Take a member out.
+    Leave(u64),
+    /// Let a learner take a voter's place.
+    Replace {
+        /// Who goes.
+        old: u64,
+        /// Who comes.
+        by: u64,
+    },
+}
+
+/// How true a read is.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Truth {
+    /// It has every change that was acknowledged before it was asked.
+    Linearizable,
+    /// It is what one member had.
+    Local {
+        /// Time since that member was last level with one that leads, in ms; none where it never was.
+        age_ms: Option<u64>,
+    },
 }
 
 /// The answer to a [`Query`].
@@ -78,32 +144,107 @@
     /// To a change.
     Changed(Outcome),
     /// To a read.
-    Contents(BTreeMap<String, Versioned>),
-    /// No member leads, or this one does not: nothing was done.
-    NoLeader,
-    /// It could not be done.
+    Contents {
+        /// The keys.
+        entries: BTreeMap<String, Versioned>,
+        /// How true they are.
+        truth: Truth,
+    },
+    /// To a question for a backup.
+    Backup(Box<Backup>),
+    /// To a question for the members.
+    Members(Vec<MemberView>),
+    /// To a question for the status.
+    Status(Box<Status>),
+    /// A blank member is taken in by this cluster.
+    Admitted(u64),
+    /// What was wished is done.
+    Done(String),
+    /// Nothing was done, and why; it may be asked again.
+    NotDone(String),
+    /// It may have been done or may yet be, and why that is not known.
+    Unsure(String),
+    /// It cannot be done.
     Failed(String),
 }
 
+/// What a member is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// It leads.
+    Leader,
+    /// Its voice counts.
+    Voter,
+    /// It only follows.
+    Learner,
+    /// It belongs to no cluster yet.
+    Blank,
+}
+
+/// One member as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberView {
+    /// Its word, in hexadecimal digits.
+    pub member: String,
+    /// How it is reached.
+    #[serde(flatten)]
+    pub place: Place,
+    /// What it is for.
+    pub role: Role,
+    /// Entries of the log that it lacks; none where it is not known.
+    pub behind: Option<u64>,
+    /// Time since it was last heard, in ms; none where it never was.
+    pub silent_ms: Option<u64>,
+}
+
+/// How one member stands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Its number.
+    pub number: u64,
+    /// Its word, in hexadecimal digits.
+    pub member: String,
+    /// Its cluster, in hexadecimal digits.
+    pub cluster: Option<String>,
+    /// What it is for.
+    pub role: Role,
+    /// The number of the member that leads, where it knows one.
+    pub leader: Option<u64>,
+    /// Whether a change could be made now, and why not.
+    pub trouble: Option<String>,
+    /// The term of its vote.
+    pub term: u64,
+    /// The last entry of its log, and the last one that is in its map.
+    pub last: Option<u64>,
+    /// The last entry that is in its map.
+    pub applied: Option<u64>,
+    /// The last entry that its snapshot has.
+    pub snapshot: Option<u64>,
+    /// Keys that it has, and their bytes.
+    pub keys: usize,
+    /// Bytes of its keys and values.
+    pub bytes: usize,
+}
+
 /// Why a store cannot be had.
 #[derive(Debug, Error)]
 pub enum StoreError {
     /// Its directory cannot be used.
     #[error("the store's directory: {0}")]
-    Disk(String),
+    Disk(#[from] disk::DiskError),
     /// Its socket cannot be had.
     #[error("the store's socket: {0}")]
     Io(#[from] std::io::Error),
-    /// The consensus library does not start.
+    /// The consensus library does not start, or ended.
     #[error("the store's members: {0}")]
     Raft(String),
 }
 
-/// One member of the store.
-#[derive(Clone)]
-struct Member {
-    raft: Raft<Types>,
-    contents: watch::Receiver<Contents>,
+impl StoreError {
+    fn raft(problem: &impl std::fmt::Display) -> Self {
+        Self::Raft(problem.to_string())
+    }
 }
 
 /// Starts the node's member on a thread of its own. What it holds can be watched.
@@ -121,7 +262,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let served = runtime
             .map_err(StoreError::from)
-            .and_then(|rt| rt.block_on(serve(&name, options, configuration, shown)));
+            .and_then(|rt| rt.block_on(serve(&name, options, configuration, Arc::new(shown))));
         if let Err(problem) = served {
             error!("the store cannot run: {problem}");
         }
@@ -129,125 +270,58 @@
     Ok(contents)
 }
 
+/// One session after the other: each has a directory as it is found, and ends when that is no longer this member's
+/// or can no longer be written.
 async fn serve(
     name: &str,
     options: StoreOptions,
     configuration: watch::Receiver<String>,
-    shown: watch::Sender<Contents>,
+    shown: Arc<watch::Sender<Contents>>,
 ) -> Result<(), StoreError> {
     let listener = match options.listen {
         Some(listen) => Some(TcpListener::bind(listen).await?),
         None => None,
     };
-    let member = member(&options, shown).await?;
-    tokio::spawn(keep_configuration(member.clone(), name.to_owned(), configuration));
-    match listener {
-        Some(listener) => {
-            info!("{name} listens for the store on {}", listener.local_addr()?);
-            wire::serve(listener, member).await;
-        }
-        None => std::future::pending().await,
+    if let Some(listener) = &listener {
+        info!("{name} listens for the store on {}", listener.local_addr()?);
     }
-    Ok(())
-}
-
-async fn member(options: &StoreOptions, shown: watch::Sender<Contents>) -> Result<Member, StoreError> {
-    let raft_error = |problem: &dyn std::fmt::Display| StoreError::Raft(problem.to_string());
-    let config = openraft::Config {
-        cluster_name: "sillflow".to_owned(),
-        heartbeat_interval: HEARTBEAT_MS,
-        election_timeout_min: ELECTION_MS.0,
-        election_timeout_max: ELECTION_MS.1,
-        snapshot_policy: openraft::SnapshotPolicy::LogsSinceLast(SNAPSHOT_LOGS),
-        ..openraft::Config::default()
-    };
-    let config = Arc::new(config.validate().map_err(|e| raft_error(&e))?);
-    let disk = Disk::open(options.directory.as_deref()).map_err(|e| StoreError::Disk(e.to_string()))?;
-    let contents = shown.subscribe();
-    let machine = StateMachine::new(disk.clone(), shown);
-    let raft =
-        Raft::new(options.id, config, wire::Network, disk, machine).await.map_err(|e| raft_error(&e))?;
-    if !raft.is_initialized().await.map_err(|e| raft_error(&e))? {
-        let peers = options.peers.iter().map(|peer| (peer.id, BasicNode::new(peer.address)));
-        let own = options.listen.map_or_else(String::new, |listen| listen.to_string());
-        let members: BTreeMap<u64, BasicNode> = peers.chain([(options.id, BasicNode::new(own))]).collect();
-        // Each member is told the same members; one that has heard of the others meanwhile says so.
-        if let Err(problem) = raft.initialize(members).await {
-            warn!("the store's members are not set up anew: {problem}");
-        }
-    }
-    Ok(Member { raft, contents })
-}
-
-/// Puts the node's configuration, and each later one, where other members can read it.
-async fn keep_configuration(member: Member, name: String, mut configuration: watch::Receiver<String>) {
+    let options = Arc::new(options);
+    let mut opened_before = false;
     loop {
-        let value = Some(configuration.borrow_and_update().clone());
-        let change = Change { key: format!("config/{name}"), value, expect: None };
-        match member.answer(Query::Change(change), true).await {
-            Answer::Changed(outcome) => info!("the configuration is kept at version {}", outcome.version),
-            other => warn!("the configuration is not kept: {other:?}"),
-        }
-        if configuration.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Whether a query done twice could come to something else than done once.
-fn is_conditional(query: &Query) -> bool {
-    matches!(query, Query::Change(Change { expect: Some(_), .. }))
-}
-
-impl Member {
-    /// Answers a query here or, where this member does not lead, at the one that does.
-    async fn answer(&self, query: Query, may_forward: bool) -> Answer {
-        if let Query::Change(Change { key, value, .. }) = &query
-            && key.len() + value.as_ref().map_or(0, String::len) > MOST_BYTES
-        {
-            return Answer::Failed(format!("over {MOST_BYTES} bytes"));
-        }
-        let tries = if may_forward { TRIES } else { 1 };
-        for _ in 0..tries {
-            let leader = match self.answer_here(&query).await {
-                Ok(answer) => return answer,
-                Err(leader) => leader.leader_node.filter(|_| may_forward),
-            };
-            if let Some(node) = leader {
-                match wire::forward(&node.addr, &query).await {
-                    // Members may disagree on who leads for a while: the other one knows no better.
-                    Ok(Answer::NoLeader) => {}
-                    Ok(answer) => return answer,
-                    Err(problem) if is_conditional(&query) => {
-                        return Answer::Failed(format!(
-                            "the leader broke off, the change may be made: {problem}"
-                        ));
-                    }
-                    // Done twice it comes to the same.
-                    Err(problem) => debug!("the leader cannot be asked: {problem}"),
-                }
+        let listen = listener.as_ref().map(TcpListener::local_addr).transpose()?;
+        let session = match Session::open(options.clone(), listen, shown.clone()) {
+            Ok(session) => session,
+            // What cannot be opened at the start is the operator's to mend; later a disk may come back.
+            Err(problem) if opened_before => {
+                error!("{problem}");
+                tokio::time::sleep(REOPEN).await;
+                continue;
+            }
+            Err(problem) => return Err(problem),
+        };
+        opened_before = true;
+        let end = tokio::select! {
+            end = session.live(name, configuration.clone()) => end,
+            () = answer(listener.as_ref(), &session) => End::Reopen("its socket is gone".to_owned()),
+        };
+        session.stop().await;
+        match end {
+            End::SetAside(why) => {
+                warn!("the store's member begins anew: {why}");
+                session.set_aside()?;
             }
-            if may_forward {
-                tokio::time::sleep(TRY_WAIT).await;
+            End::Reopen(why) => {
+                error!("the store's member stops, and is opened again in {} s: {why}", REOPEN.as_secs());
+                drop(session);
+                tokio::time::sleep(REOPEN).await;
             }
         }
-        Answer::NoLeader
     }
+}
 
-    async fn answer_here(&self, query: &Query) -> Result<Answer, ForwardToLeader<u64, BasicNode>> {
-        match query {
-            Query::Change(change) => match self.raft.client_write(change.clone()).await {
-                Ok(done) => Ok(Answer::Changed(done.data)),
-                Err(RaftError::APIError(ClientWriteError::ForwardToLeader(leader))) => Err(leader),
-                Err(problem) => Ok(Answer::Failed(problem.to_string())),
-            },
-            Query::Read(prefix) => match self.raft.ensure_linearizable().await {
-                Ok(_) => Ok(Answer::Contents(self.contents.borrow().under(prefix))),
-                Err(problem) => match problem.forward_to_leader() {
-                    Some(leader) => Err(leader.clone()),
-                    None => Err(ForwardToLeader::empty()),
-                },
-            },
-        }
+async fn answer(listener: Option<&TcpListener>, session: &Session) {
+    match listener {
+        Some(listener) => wire::serve(listener, session.door.clone()).await,
+        None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/tests/rig/relay.rs
@@ -0,0 +1,169 @@
+//! A relay in front of every process: it knows by the address that a caller comes from which process it is, and holds,
+//! delays, slows or breaks what one sends to the other. A direction of a link counts by who sends, whoever has opened
+//! the connection.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener as StdListener};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::host;
+
+/// What happens to what one process sends to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Link {
+    /// Nothing passes; what was sent waits, as it does in a network that loses it and sends it again.
+    pub cut: bool,
+    /// How much later it comes, in ms.
+    pub delay_ms: u64,
+    /// Bytes a second, where that is bounded.
+    pub rate: Option<u64>,
+    /// Raised to break the connections that there are.
+    pub broken: u64,
+}
+
+type Links = HashMap<(usize, usize), Link>;
+
+/// The relay, on a thread of its own.
+pub struct Relay {
+    links: Arc<watch::Sender<Links>>,
+    calls: Arc<Mutex<HashMap<(usize, usize), usize>>>,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct Shared {
+    links: watch::Receiver<Links>,
+    calls: Arc<Mutex<HashMap<(usize, usize), usize>>>,
+}
+
+impl Relay {
+    /// One address for each process, and where what comes there goes.
+    pub fn start(ways: Vec<(usize, SocketAddrV4, SocketAddrV4)>) -> io::Result<Self> {
+        let bind = |(n, at, to): (usize, SocketAddrV4, SocketAddrV4)| {
+            let listener = StdListener::bind(at)?;
+            listener.set_nonblocking(true)?;
+            Ok((n, listener, to))
+        };
+        let listeners = ways.into_iter().map(bind).collect::<io::Result<Vec<_>>>()?;
+        let (links, seen) = watch::channel(Links::new());
+        let (stop, mut stopped) = watch::channel(false);
+        let calls = Arc::<Mutex<HashMap<_, _>>>::default();
+        let shared = Arc::new(Shared { links: seen, calls: calls.clone() });
+        let thread = std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(async {
+                for (n, listener, to) in listeners {
+                    let listener = TcpListener::from_std(listener).expect("a listener");
+                    tokio::spawn(accept(n, listener, to, shared.clone()));
+                }
+                let _ = stopped.wait_for(|stop| *stop).await;
+            });
+        });
+        Ok(Self { links: Arc::new(links), calls, stop, thread: Some(thread) })
+    }
+
+    /// Changes what happens to all that `from` sends to `to`.
+    pub fn link(&self, from: usize, to: usize, change: impl Fn(&mut Link)) {
+        self.links.send_modify(|links| change(links.entry((from, to)).or_default()));
+    }
+
+    /// Changes both directions.
+    pub fn both(&self, one: usize, other: usize, change: impl Fn(&mut Link)) {
+        self.link(one, other, &change);
+        self.link(other, one, &change);
+    }
+
+    /// Cuts these off from those, both ways.
+    pub fn split(&self, these: &[usize], those: &[usize]) {
+        for one in these {
+            those.iter().for_each(|other| self.both(*one, *other, |link| link.cut = true));
+        }
+    }
+
+    /// Everything passes again.
+    pub fn heal(&self) {
+        self.links.send_modify(|links| {
+            links.values_mut().for_each(|link| *link = Link { broken: link.broken, ..Link::default() });
+        });
+    }
+
+    /// How often one process has called another.
+    pub fn calls(&self, from: usize, to: usize) -> usize {
+        self.calls.lock().expect("a lock").get(&(from, to)).copied().unwrap_or(0)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn accept(n: usize, listener: TcpListener, to: SocketAddrV4, shared: Arc<Shared>) {
+    while let Ok((stream, from)) = listener.accept().await {
+        let caller = usize::from(host(from));
+        *shared.calls.lock().expect("a lock").entry((caller, n)).or_insert(0) += 1;
+        tokio::spawn(carry(caller, n, stream, SocketAddr::V4(to), shared.clone()));
+    }
+}
+
+async fn carry(caller: usize, called: usize, stream: TcpStream, to: SocketAddr, shared: Arc<Shared>) {
+    let mut links = shared.links.clone();
+    let whole = |links: &Links| {
+        let broken = |pair| links.get(&pair).map_or(0, |link: &Link| link.broken);
+        broken((caller, called)) + broken((called, caller))
+    };
+    let before = whole(&links.borrow());
+    let mut breaks = shared.links.clone();
+    let carried = async {
+        // A first packet that is lost opens nothing.
+        let _ = links.wait_for(|links| !links.get(&(caller, called)).is_some_and(|link| link.cut)).await;
+        let Ok(there) = TcpStream::connect(to).await else { return };
+        let (_, _) = (stream.set_nodelay(true), there.set_nodelay(true));
+        let ((from_here, to_here), (from_there, to_there)) = (stream.into_split(), there.into_split());
+        tokio::select! {
+            () = pump((caller, called), from_here, to_there, shared.links.clone()) => {}
+            () = pump((called, caller), from_there, to_here, shared.links.clone()) => {}
+        }
+    };
+    tokio::select! {
+        () = carried => {}
+        _ = breaks.wait_for(|links| whole(links) != before) => {}
+    }
+}
+
+async fn pump(
+    pair: (usize, usize),
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut links: watch::Receiver<Links>,
+) {
+    let mut bytes = vec![0; 16 * 1024];
+    loop {
+        let link = links.borrow().get(&pair).copied().unwrap_or_default();
+        let most = link.rate.map_or(bytes.len(), |rate| (rate as usize / 20).clamp(1, bytes.len()));
+        let Ok(length @ 1..) = from.read(&mut bytes[..most]).await else { return };
+        let link = links.borrow().get(&pair).copied().unwrap_or_default();
+        sleep(Duration::from_millis(link.delay_ms)).await;
+        if let Some(rate) = link.rate {
+            sleep(Duration::from_secs_f64(length as f64 / rate as f64)).await;
+        }
+        let _ = links.wait_for(|links| !links.get(&pair).is_some_and(|link| link.cut)).await;
+        if to.write_all(&bytes[..length]).await.is_err() {
+            return;
+        }
+    }
+}
