Share one sync among changes of the store, and let nodes know who belongs and who is alive

A first guess, that two stood at the same moment, was wrong: shorter ticks alone gained nothing.

Changes that come at once go into one entry. Election times 400 to 900 ms. The fleet: a numbered view in the store, followed by asking and from node to node; who is alive by SWIM with local health, standstills seen as such; `sillflow fleet`, `fleet leave`, `fleet declare-lost`.

--- a/src/command.rs
+++ b/src/command.rs
@@ -1,14 +1,68 @@
-//! The commands that an operator gives to the store.
+//! The commands that an operator gives to the store and the fleet.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::Subcommand;
+use sillflow::fleet;
+use sillflow::fleet::wire::{Question, Told};
 use sillflow::store::{
     self, Answer, Backup, Change, Denied, MemberView, Outcome, Query, Status, Truth, Wish,
 };
 
 use crate::{Failure, report, runtime};
 
+/// What an operator asks of the fleet.
+#[derive(clap::Args)]
+pub(crate) struct Fleet {
+    /// Where a node listens for the fleet.
+    #[arg(long, required = true)]
+    at: Option<SocketAddr>,
+    /// As JSON rather than as a table.
+    #[arg(long)]
+    json: bool,
+    #[command(subcommand)]
+    change: Option<FleetChange>,
+}
+
+/// Takes a node out of the view.
+#[derive(Subcommand)]
+enum FleetChange {
+    /// A node goes in order.
+    Leave {
+        /// Its name.
+        name: String,
+        /// Where a node listens for the fleet.
+        #[arg(long)]
+        at: SocketAddr,
+    },
+    /// A node is lost, and whatever it held is given up.
+    DeclareLost {
+        /// Its name.
+        name: String,
+        /// Where a node listens for the fleet.
+        #[arg(long)]
+        at: SocketAddr,
+    },
+}
+
+impl Fleet {
+    pub(crate) fn run(self) -> Result<(), Failure> {
+        let (at, question) = match self.change {
+            Some(FleetChange::Leave { name, at }) => (at, Question::Leave(name)),
+            Some(FleetChange::DeclareLost { name, at }) => (at, Question::DeclareLost(name)),
+            None => (self.at.ok_or("--at is missing")?, Question::Report),
+        };
+        match runtime()?.block_on(fleet::wire::ask(at, &question))? {
+            Told::Report(seen) if self.json => println!("{}", serde_json::to_string_pretty(&seen)?),
+            Told::Report(seen) => print!("{}", report::fleet(&seen)),
+            Told::Done(done) => println!("{done}"),
+            Told::Failed(problem) => return Err(problem.into()),
+        }
+        Ok(())
+    }
+}
+
 /// What an operator does with the members of the store.
 #[derive(Subcommand)]
 pub(crate) enum Store {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -20,7 +20,7 @@
 use crate::validate::check;
 
 pub use fault::Fault;
-pub use operator::{Ajp, Operator, Peer, StoreOptions};
+pub use operator::{Ajp, FleetTable, Operator, Peer, StoreOptions};
 pub use routes::{KnowledgeTable, RecordsTable};
 pub use settings::{Pairs, Site, gauges, parse};
 
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -10,6 +10,7 @@
 use super::ConfigError;
 use super::fault::Fault;
 use super::routes::{KnowledgeTable, RecordsTable};
+use crate::fleet::view::MOST_NAME;
 
 /// The file, in TOML.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -25,6 +26,58 @@
     /// What nodes tell each other of those servers.
     #[serde(default, skip_serializing_if = "KnowledgeTable::is_off")]
     pub knowledge: KnowledgeTable,
+    /// The node's part in a fleet; absent where it stands alone.
+    pub fleet: Option<FleetTable>,
+}
+
+/// The node's part in a fleet of nodes that know each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetTable {
+    /// Where other nodes and operators reach it, by datagram and connection.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Where others reach it, where that is not where it listens.
+    #[schemars(with = "Option<String>")]
+    pub address: Option<SocketAddr>,
+    /// What it keeps over a restart is here; without it, each start is a new life of the node.
+    pub directory: Option<PathBuf>,
+    /// What fails as one with it; without it, the node's name.
+    pub machine: Option<String>,
+    /// What is cut off as one with it.
+    #[serde(default = "FleetTable::one_zone")]
+    pub zone: String,
+    /// Members of the store, which has the view.
+    #[schemars(with = "Vec<String>")]
+    pub store: Vec<SocketAddr>,
+}
+
+impl FleetTable {
+    fn one_zone() -> String {
+        "one".to_owned()
+    }
+
+    fn check(&self, faults: &mut Vec<Fault>) {
+        if self.store.is_empty() {
+            faults.push(Fault::new("fleet.store", "", "names no member of the store"));
+        }
+        if self.address.is_none() && self.listen.ip().is_unspecified() {
+            faults.push(Fault::new(
+                "fleet.listen",
+                self.listen,
+                "is no address that others can reach; set address",
+            ));
+        }
+        for (key, name) in [("machine", self.machine.as_deref().unwrap_or("-")), ("zone", &self.zone)] {
+            if name.is_empty() || name.len() > MOST_NAME {
+                faults.push(Fault::new(
+                    format!("fleet.{key}"),
+                    name,
+                    format!("is empty or over {MOST_NAME} bytes"),
+                ));
+            }
+        }
+    }
 }
 
 /// This node's member of the store.
@@ -151,6 +204,9 @@
             records.check(&mut faults);
         }
         self.knowledge.check(has_servers, &mut faults);
+        if let Some(fleet) = &self.fleet {
+            fleet.check(&mut faults);
+        }
         faults
     }
 
@@ -167,6 +223,7 @@
             store: read_alone::<StoreAlone>(text, "store", &mut faults).store,
             records: read_alone::<RecordsAlone>(text, "records", &mut faults).records,
             knowledge: read_alone::<KnowledgeAlone>(text, "knowledge", &mut faults).knowledge,
+            fleet: read_alone::<FleetAlone>(text, "fleet", &mut faults).fleet,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
         faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
@@ -181,7 +238,7 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 4] = ["ajp", "store", "records", "knowledge"];
+const TABLES: [&str; 5] = ["ajp", "store", "records", "knowledge", "fleet"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -199,6 +256,11 @@
     records: Option<RecordsTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct FleetAlone {
+    fleet: Option<FleetTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct KnowledgeAlone {
     #[serde(default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod base64;
 pub mod config;
 pub mod exchange;
+pub mod fleet;
 mod frame;
 pub mod front;
 pub mod handover;
--- a/src/main.rs
+++ b/src/main.rs
@@ -73,6 +73,9 @@
         #[arg(long)]
         at: String,
     },
+    /// Prints what a node sees of the fleet: who belongs, who is alive, who says so and since when.
+    #[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+    Fleet(command::Fleet),
     /// The members of the store, and what it holds as a whole.
     #[command(subcommand)]
     Store(command::Store),
@@ -91,6 +94,7 @@
         Some(Command::Knowledge { at, json }) => knowledge(at, json),
         Some(Command::Set { key, value, expect, at }) => command::set(&at, Change { key, value, expect }),
         Some(Command::Store(store)) => store.run(),
+        Some(Command::Fleet(fleet)) => fleet.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 use crate::back::{control, processor, records};
 use crate::config::{Config, ConfigError, Peers, RecordsTable};
 use crate::exchange::{self, Handle, Input};
+use crate::fleet;
 use crate::front::{self, Shared, ajp, resp};
 use crate::handover::{self, Successor};
 use crate::inherit;
@@ -143,6 +144,11 @@
         error!("questions about servers cannot be answered: {problem}");
     }
     let Config { name, operator, .. } = config;
+    if let Some(table) = operator.fleet
+        && let Err(problem) = fleet::daemon::start(&name, table)
+    {
+        error!("this node has no part in the fleet: {problem}");
+    }
     match store::start(&name, operator.store, published) {
         Ok(contents) => {
             follow_operator(format!("state/{name}/maintenance"), contents, shared.exchange.clone()).await;
--- a/src/report.rs
+++ b/src/report.rs
@@ -2,6 +2,7 @@
 
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
+use sillflow::fleet::wire::Report;
 use sillflow::peers::wire::Beliefs;
 use sillflow::route::{Belief, Standing};
 use sillflow::store::{MemberView, Status};
@@ -106,3 +107,45 @@
     ];
     lines.iter().map(|(name, value)| format!("{name:9} {value}\n")).collect()
 }
+
+/// What a node sees of the fleet.
+pub fn fleet(report: &Report) -> String {
+    let mut table = Table::new();
+    table.load_style(NOTHING).set_header([
+        "node",
+        "incarnation",
+        "address",
+        "machine",
+        "zone",
+        "state",
+        "since s",
+        "says",
+        "heard s ago",
+    ]);
+    for line in &report.nodes {
+        let node = &line.node.applicant;
+        let state = line
+            .opinion
+            .map_or("this one".to_owned(), |opinion| format!("{:?}", opinion.state).to_lowercase());
+        table.add_row([
+            node.name.clone(),
+            line.node.incarnation.to_string(),
+            node.address.to_string(),
+            node.machine.clone(),
+            node.zone.clone(),
+            state,
+            seconds(line.opinion.map(|opinion| opinion.since_ms as f64)),
+            or_dash(line.says.as_ref()),
+            seconds(line.opinion.and_then(|opinion| opinion.heard_ms).map(|ms| ms as f64)),
+        ]);
+    }
+    let freshness = format!("{:?}", report.freshness).to_lowercase();
+    let age = seconds(Some(report.view_age_ms as f64));
+    let trouble = report.trouble.as_ref().map_or(String::new(), |trouble| format!("{trouble}\n"));
+    format!(
+        "view {} as {} sees it, {freshness}: in force {age} s ago\n{trouble}\n{}\n",
+        report.view,
+        report.name,
+        table.trim_fmt()
+    )
+}
--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -23,11 +23,13 @@
 use super::map::{Contents, StateMachine};
 use super::member::Member;
 use super::wire::{self, About, GREETING, Heard, Message, Network};
+use super::writer::Writer;
 use super::{Answer, Change, Query, StoreError, steward};
 
-/// Time between heartbeats, and the least and most time without one before a member stands for election, in ms.
-const HEARTBEAT_MS: u64 = 200;
-const ELECTION_MS: (u64, u64) = (800, 1600);
+/// Time between heartbeats, and bounds of an election's time, in ms. A member stands for election when it has heard none
+/// for the longer of these, which is the leader's lease, and a time between them on top: 1.3 to 1.8 s.
+const HEARTBEAT_MS: u64 = 100;
+const ELECTION_MS: (u64, u64) = (400, 900);
 /// Log entries between two snapshots, and those before the last one that are kept for members that are behind.
 const SNAPSHOT_LOGS: u64 = 500;
 const KEEP_LOGS: u64 = 250;
@@ -291,6 +293,7 @@
             cluster,
             place: self.door.place.clone(),
             from: self.from,
+            writer: Writer::start(raft.clone()),
             raft,
             contents: self.shown.subscribe(),
             heard,
--- a/src/store/lossy.rs
+++ b/src/store/lossy.rs
@@ -11,7 +11,7 @@
 
 use super::decide::identity::Identity;
 use super::disk::Disk;
-use super::map::{Deed, Logged};
+use super::map::{Batch, Deed, Logged};
 use super::{Change, Types};
 
 /// A write, or a new length, that waits for a sync.
@@ -111,7 +111,8 @@
 
 fn entry(index: u64, length: usize) -> Entry<Types> {
     let change = Change { key: format!("k{index}"), value: Some("x".repeat(length)), expect: None };
-    let payload = EntryPayload::Normal(Logged { tag: index, since: 0, deed: Deed::Change(change) });
+    let payload =
+        EntryPayload::Normal(Batch(vec![Logged { tag: index, since: 0, deed: Deed::Change(change) }]));
     Entry { log_id: LogId::new(CommittedLeaderId::new(1, 1), index), payload }
 }
 
@@ -170,10 +171,12 @@
 
 fn held(disk: &Disk, identity: &Identity) -> Promised {
     let entries = disk.log().expect("each row is whole");
+    let value = |logged: &Logged| match &logged.deed {
+        Deed::Change(change) => change.value.as_ref().map_or(0, String::len),
+        _ => 0,
+    };
     let length = |entry: &Entry<Types>| match &entry.payload {
-        EntryPayload::Normal(Logged { deed: Deed::Change(change), .. }) => {
-            change.value.as_ref().map_or(0, String::len)
-        }
+        EntryPayload::Normal(Batch(batch)) => batch.iter().map(value).sum(),
         _ => 0,
     };
     Promised {
--- a/src/store/map.rs
+++ b/src/store/map.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::fleet::view as fleet;
+
 use super::decide::members::Place;
 use super::disk::{Disk, DiskError};
 use super::{Change, Denied, MOST_KEYS, MOST_TOTAL, Outcome, Types};
@@ -39,28 +41,38 @@
     Replaced,
 }
 
-/// An entry of the log that is no change of members.
+/// An entry of the log that is no change of members: what several callers wished at once, in one sync.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Batch(pub Vec<Logged>);
+
+/// What came of each of a batch, in its order.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Outcomes(pub Vec<Outcome>);
+
+/// One of a batch.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Logged {
     /// A random word under which it counts once, however often it is tried.
     pub tag: u64,
-    /// Where the log was when the first try began: one that comes much later is not made any more.
+    /// How many there had been when the first try began: one that comes much later is not made any more.
     pub since: u64,
     /// What it does.
     pub deed: Deed,
 }
 
-/// What an entry does.
+/// What one of a batch does.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Deed {
     /// Changes a key.
     Change(Change),
     /// Says what a number stands for.
     Roster(u64, Roster),
+    /// Changes which nodes belong to the fleet.
+    Fleet(fleet::Change),
 }
 
-/// Entries over which the outcome of a change is remembered. A try that comes later is not made.
-pub const REMEMBERED: u64 = 2048;
+/// Deeds over which the outcome of one is remembered. A try that comes later is not made.
+pub const REMEMBERED: u64 = 8192;
 
 /// All that a member holds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -69,6 +81,9 @@
     members: StoredMembership<u64, Place>,
     map: BTreeMap<String, Versioned>,
     bytes: usize,
+    /// Deeds so far; each change is at the version of its turn.
+    turn: u64,
+    fleet: fleet::View,
     roster: BTreeMap<u64, Roster>,
     outcomes: BTreeMap<u64, Outcome>,
     tags: VecDeque<(u64, u64)>,
@@ -92,7 +107,8 @@
         let membership = Membership::new(vec![BTreeSet::from([member])], nodes);
         let bytes = map.iter().map(|(key, now)| key.len() + now.value.len()).sum();
         let members = StoredMembership::new(Some(applied), membership);
-        Self { applied: Some(applied), members, map, bytes, ..Self::default() }
+        let turn = map.values().map(|now| now.version).max().unwrap_or(0);
+        Self { applied: Some(applied), members, map, bytes, turn, ..Self::default() }
     }
 
     /// The last entry that is in it.
@@ -105,6 +121,16 @@
         &self.members
     }
 
+    /// Deeds so far.
+    pub fn turn(&self) -> u64 {
+        self.turn
+    }
+
+    /// Which nodes belong to the fleet.
+    pub fn fleet(&self) -> &fleet::View {
+        &self.fleet
+    }
+
     /// What a number stands for.
     pub fn roster(&self, number: u64) -> Roster {
         self.roster.get(&number).copied().unwrap_or(Roster::Usual)
@@ -125,7 +151,8 @@
         self.bytes
     }
 
-    fn change(&mut self, change: Change, version: u64) -> Outcome {
+    fn change(&mut self, change: Change) -> Outcome {
+        let version = self.turn;
         let now = self.map.get(&change.key);
         let size = now.map_or(0, |now| change.key.len() + now.value.len());
         let now = now.map_or(0, |now| now.version);
@@ -133,31 +160,39 @@
         let fits = more <= size
             || (self.bytes - size + more <= MOST_TOTAL && (now != 0 || self.map.len() < MOST_KEYS));
         if change.expect.is_some_and(|expected| expected != now) {
-            return Outcome { changed: false, version: now, denied: None };
+            return Outcome { version: now, ..Outcome::default() };
         }
         if !fits {
-            return Outcome { changed: false, version: now, denied: Some(Denied::Full) };
+            return Outcome { version: now, denied: Some(Denied::Full), ..Outcome::default() };
         }
         self.bytes = self.bytes - size + more;
         match change.value {
             Some(value) => {
                 self.map.insert(change.key, Versioned { value, version });
-                Outcome { changed: true, version, denied: None }
+                Outcome { changed: true, version, ..Outcome::default() }
             }
-            None => Outcome { changed: self.map.remove(&change.key).is_some(), version: 0, denied: None },
+            None => Outcome { changed: self.map.remove(&change.key).is_some(), ..Outcome::default() },
         }
     }
 
-    /// Does what an entry says, once over all tries of it.
-    fn perform(&mut self, logged: Logged, index: u64) -> Outcome {
+    /// Does one of a batch, once over all tries of it.
+    fn perform(&mut self, logged: Logged) -> Outcome {
         if let Some(known) = self.outcomes.get(&logged.tag) {
             return known.clone();
         }
-        if index > logged.since + REMEMBERED {
+        if self.turn > logged.since + REMEMBERED {
             return Outcome { denied: Some(Denied::Late), ..Outcome::default() };
         }
+        self.turn += 1;
+        self.forget();
         let outcome = match logged.deed {
-            Deed::Change(change) => self.change(change, index),
+            Deed::Change(change) => self.change(change),
+            Deed::Fleet(change) => {
+                let before = self.fleet.number();
+                let fleet = self.fleet.change(change);
+                let changed = self.fleet.number() != before;
+                Outcome { changed, fleet: Some(fleet), ..Outcome::default() }
+            }
             Deed::Roster(number, Roster::Usual) => {
                 Outcome { changed: self.roster.remove(&number).is_some(), ..Outcome::default() }
             }
@@ -168,27 +203,29 @@
             }
         };
         self.outcomes.insert(logged.tag, outcome.clone());
-        self.tags.push_back((index, logged.tag));
+        self.tags.push_back((self.turn, logged.tag));
         outcome
     }
 
     /// Outcomes that no try may ask for any more are forgotten.
-    fn forget(&mut self, index: u64) {
-        while let Some((_, tag)) = self.tags.front().copied().filter(|(at, _)| *at + REMEMBERED < index) {
+    fn forget(&mut self) {
+        let turn = self.turn;
+        while let Some((_, tag)) = self.tags.front().copied().filter(|(at, _)| *at + REMEMBERED < turn) {
             self.tags.pop_front();
             self.outcomes.remove(&tag);
         }
     }
 
-    fn apply(&mut self, entry: Entry<Types>) -> Outcome {
+    fn apply(&mut self, entry: Entry<Types>) -> Outcomes {
         self.applied = Some(entry.log_id);
-        self.forget(entry.log_id.index);
         match entry.payload {
-            EntryPayload::Blank => Outcome::default(),
-            EntryPayload::Normal(logged) => self.perform(logged, entry.log_id.index),
+            EntryPayload::Blank => Outcomes::default(),
+            EntryPayload::Normal(Batch(batch)) => {
+                Outcomes(batch.into_iter().map(|logged| self.perform(logged)).collect())
+            }
             EntryPayload::Membership(members) => {
                 self.members = StoredMembership::new(Some(entry.log_id), members);
-                Outcome::default()
+                Outcomes::default()
             }
         }
     }
@@ -246,7 +283,7 @@
         Ok((contents.applied, contents.members.clone()))
     }
 
-    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Outcome>, StorageError<u64>>
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Outcomes>, StorageError<u64>>
     where
         I: IntoIterator<Item = Entry<Types>> + OptionalSend,
         I::IntoIter: OptionalSend,
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -7,17 +7,20 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use log::debug;
-use openraft::error::{ClientWriteError, RaftError};
+use log::{debug, warn};
 use openraft::{Raft, RaftMetrics};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::config::StoreOptions;
 
+use crate::fleet::view as fleet;
+
 use super::decide::members::{Limits, Place};
+use super::inquire::{self, Found};
 use super::map::{Contents, Deed, Logged};
 use super::wire::{self, Heard, Message};
+use super::writer::Writer;
 use super::{Answer, Backup, Change, Denied, MOST_BYTES, Outcome, Query, Role, Status, Truth, Types};
 
 /// How long a member tries to do what it is asked, and the wait between two tries.
@@ -27,6 +30,8 @@
 const ONE_TRY: Duration = Duration::from_millis(2500);
 /// A member that was heard within this time is heard, in ms.
 const HEARD_MS: u64 = 1500;
+/// Time in which another member is elected where a majority is there, in ms.
+const ELECTED_MS: u64 = 4000;
 /// Entries of the log that a learner may lack when it is to vote.
 const NEAR: u64 = 64;
 
@@ -42,6 +47,7 @@
     /// The address that it calls others from.
     pub from: Option<IpAddr>,
     pub raft: Raft<Types>,
+    pub writer: Writer,
     pub contents: watch::Receiver<Contents>,
     pub heard: Heard,
     pub silent: Arc<AtomicBool>,
@@ -60,6 +66,16 @@
     Maybe(String),
 }
 
+/// Questions for the view that one member answers a second.
+const VIEWS: u64 = 20;
+/// The shortest time between two of one node, in ms.
+const SOONEST_VIEW: u64 = 2000;
+
+/// How long one of so many nodes waits between two questions to so many members, in ms.
+fn again_ms(nodes: usize, members: usize) -> u64 {
+    (nodes as u64 * 1000 / (VIEWS * members.max(1) as u64)).max(SOONEST_VIEW)
+}
+
 /// The word of a change, under which it counts once however often it is tried, and where the log was before.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ticket {
@@ -91,7 +107,7 @@
     }
 
     pub fn ticket(&self) -> Ticket {
-        let since = self.contents.borrow().applied().map_or(0, |log| log.index);
+        let since = self.contents.borrow().turn();
         Ticket { tag: rand::random(), since }
     }
 
@@ -114,6 +130,10 @@
             let numbers: BTreeSet<u64> = members.iter().map(number).collect();
             numbers.iter().map(u64::to_string).collect::<Vec<_>>().join(", ")
         };
+        // Those that follow do not talk to each other: who is there shows once one stands for election.
+        if self.age_ms().is_some_and(|age| age <= ELECTED_MS) && metrics.current_leader != Some(self.own) {
+            return Some("no member leads since a moment ago".to_owned());
+        }
         for set in membership.get_joint_config() {
             let (there, gone): (Vec<u64>, Vec<u64>) = set.iter().copied().partition(heard);
             if there.len() * 2 <= set.len() {
@@ -144,10 +164,23 @@
                 let truth = Truth::Local { age_ms: if self.leads() { Some(0) } else { self.age_ms() } };
                 Answer::Contents { entries: self.contents.borrow().under(&prefix), truth }
             }
+            Query::View { since } => self.view_since(since),
             query => self.try_all(query).await,
         }
     }
 
+    /// What one that follows the fleet's view lacks, as this member has it.
+    fn view_since(&self, since: u64) -> Answer {
+        let contents = self.contents.borrow();
+        let fleet = contents.fleet();
+        let members = self.metrics().membership_config.voter_ids().count();
+        Answer::View {
+            lacking: fleet.since(since, fleet::KEPT),
+            age_ms: if self.leads() { Some(0) } else { self.age_ms() },
+            again_ms: again_ms(fleet.len(), members),
+        }
+    }
+
     async fn try_all(&self, query: Query) -> Answer {
         let until = Instant::now() + TRIES;
         let ticket = self.ticket();
@@ -181,7 +214,8 @@
             sleep(TRY_WAIT).await;
         }
         let trouble = self.trouble();
-        let changes = !matches!(query, Query::Read { .. } | Query::Backup | Query::Members);
+        let changes =
+            !matches!(query, Query::Read { .. } | Query::Backup | Query::Members | Query::View { .. });
         match unsure {
             Some(why) if changes => Answer::Unsure(trouble.unwrap_or(why)),
             _ => Answer::NotDone(trouble.unwrap_or_else(|| match asked {
@@ -239,6 +273,8 @@
                 )))),
                 Err(tried) => tried,
             },
+            Query::Fleet(change) => self.change_fleet(change.clone(), ticket).await,
+            Query::View { since } => Tried::Answered(self.view_since(*since)),
             Query::Members => Tried::Answered(Answer::Members(self.view())),
             Query::Admit { member, place } => Tried::Answered(self.admit(*member, place.clone()).await),
             Query::Wish(wish) => Tried::Answered(self.fulfil(wish.clone()).await),
@@ -246,6 +282,41 @@
         }
     }
 
+    /// Changes the fleet's view. Where a node comes under a name that another life has, that life is looked for first.
+    async fn change_fleet(&self, change: fleet::Change, ticket: Ticket) -> Tried {
+        let fleet::Change::Join { node, instead: None } = &change else {
+            return self.log_fleet(change, ticket).await;
+        };
+        let there = self.contents.borrow().fleet().get(&node.name).cloned();
+        let rival = there.filter(|there| there.applicant != *node);
+        let Some(rival) = rival else { return self.log_fleet(change, ticket).await };
+        match inquire::find(self.from, &rival, node).await {
+            Found::Gone => {
+                let (node, instead) = (node.clone(), Some(rival.incarnation));
+                self.log_fleet(fleet::Change::Join { node, instead }, ticket).await
+            }
+            found => {
+                let taken = rival.applicant.address;
+                warn!("{} at {} is refused: {found} at {taken}", node.name, node.address);
+                let (name, incarnation) = (node.name.clone(), rival.incarnation);
+                Tried::Answered(Answer::Fleet(Err(fleet::Refused::Taken {
+                    name,
+                    incarnation,
+                    address: taken,
+                })))
+            }
+        }
+    }
+
+    async fn log_fleet(&self, change: fleet::Change, ticket: Ticket) -> Tried {
+        match self.write(Deed::Fleet(change), ticket).await {
+            Tried::Answered(Answer::Changed(Outcome { fleet: Some(fleet), .. })) => {
+                Tried::Answered(Answer::Fleet(fleet))
+            }
+            other => other,
+        }
+    }
+
     fn leader(&self) -> Option<String> {
         let metrics = self.metrics();
         let leader = metrics.current_leader.filter(|leader| *leader != self.own)?;
@@ -263,15 +334,10 @@
         }
     }
 
-    /// Puts an entry into the log. Only a member that does not lead can be sure that it did not.
     async fn write(&self, deed: Deed, ticket: Ticket) -> Tried {
-        let logged = Logged { tag: ticket.tag, since: ticket.since, deed };
-        match self.raft.client_write(logged).await {
-            Ok(done) => Tried::Answered(Answer::Changed(done.data)),
-            Err(RaftError::APIError(ClientWriteError::ForwardToLeader(_))) => {
-                Tried::Maybe("the member that led does so no more".to_owned())
-            }
-            Err(problem) => Tried::Maybe(problem.to_string()),
+        match self.writer.write(Logged { tag: ticket.tag, since: ticket.since, deed }).await {
+            Ok(outcome) => Tried::Answered(Answer::Changed(outcome)),
+            Err(why) => Tried::Maybe(why),
         }
     }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,12 +9,14 @@
 mod disk;
 mod door;
 mod enter;
+mod inquire;
 #[cfg(test)]
 mod lossy;
 mod map;
 mod member;
 mod steward;
 mod wire;
+mod writer;
 
 use std::collections::BTreeMap;
 use std::io::Cursor;
@@ -29,16 +31,17 @@
 use tokio::sync::watch;
 
 use crate::config::StoreOptions;
+use crate::fleet::view as fleet;
 use decide::members::Place;
 use enter::{End, Session};
 
 pub use backup::{Backup, BackupError, restore, verify_directory};
 pub use map::{Contents, Roster, Versioned};
-pub use wire::ask;
+pub use wire::{ask, ask_from};
 
 openraft::declare_raft_types!(
     /// The types that the consensus library works with.
-    pub Types: D = map::Logged, R = Outcome, Node = Place
+    pub Types: D = map::Batch, R = map::Outcomes, Node = Place
 );
 
 /// Keys, and bytes of a key and its value, that the map holds at the most, and of all keys and values together.
@@ -68,6 +71,9 @@
     pub version: u64,
     /// Why it was not made, where the version is not the reason.
     pub denied: Option<Denied>,
+    /// What came of a change of the fleet's view: the life of the node that came or went.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Result<u64, fleet::Refused>>,
 }
 
 /// Why a change is not made, whatever version its key is at.
@@ -97,6 +103,13 @@
     Members,
     /// How this member stands.
     Status,
+    /// Change which nodes belong to the fleet.
+    Fleet(fleet::Change),
+    /// What one that follows the fleet's view lacks, as this member has it.
+    View {
+        /// The number of the view that it has.
+        since: u64,
+    },
     /// A blank member asks to be taken in.
     Admit {
         /// Its word.
@@ -156,6 +169,17 @@
     Members(Vec<MemberView>),
     /// To a question for the status.
     Status(Box<Status>),
+    /// To a change of the fleet's view.
+    Fleet(Result<u64, fleet::Refused>),
+    /// To a question for the fleet's view.
+    View {
+        /// What the asking one lacks.
+        lacking: fleet::Lacking,
+        /// Time since this member was last level with one that leads, in ms; none where it never was.
+        age_ms: Option<u64>,
+        /// How long to wait before the next question, so that all who follow can ask, in ms.
+        again_ms: u64,
+    },
     /// A blank member is taken in by this cluster.
     Admitted(u64),
     /// What was wished is done.
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -176,6 +176,14 @@
     once(address, None, &Message::Asked(query), PATIENCE).await
 }
 
+/// The same, from one of this machine's addresses.
+///
+/// # Errors
+/// It cannot be reached, or does not answer in time.
+pub async fn ask_from(address: &str, from: IpAddr, query: Query) -> io::Result<Answer> {
+    once(address, Some(from), &Message::Asked(query), PATIENCE).await
+}
+
 /// Serves members and programs beside this one.
 pub(super) async fn serve(listener: &TcpListener, door: Arc<Door>) {
     let mut open = JoinSet::new();
--- a/tests/rig/relay.rs
+++ b/tests/rig/relay.rs
@@ -4,16 +4,16 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener as StdListener};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4, TcpListener as StdListener};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::host;
 
@@ -28,10 +28,17 @@
     pub rate: Option<u64>,
     /// Raised to break the connections that there are.
     pub broken: u64,
+    /// Shares of the datagrams that are lost, doubled, and put off by up to 300 ms, so that others overtake them.
+    pub lost: f64,
+    pub doubled: f64,
+    pub put_off: f64,
 }
 
 type Links = HashMap<(usize, usize), Link>;
 
+/// The port that datagrams go to, on both sides.
+pub const DATAGRAMS: u16 = 7071;
+
 /// The relay, on a thread of its own.
 pub struct Relay {
     links: Arc<watch::Sender<Links>>,
@@ -66,10 +73,16 @@
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
             runtime.block_on(async {
+                let mut ways = HashMap::new();
                 for (n, listener, to) in listeners {
+                    let at = SocketAddr::new(listener.local_addr().expect("an address").ip(), DATAGRAMS);
                     let listener = TcpListener::from_std(listener).expect("a listener");
                     tokio::spawn(accept(n, listener, to, shared.clone()));
+                    let socket = UdpSocket::bind(at).await.expect("a socket");
+                    ways.insert(n, (Arc::new(socket), SocketAddr::new(IpAddr::V4(*to.ip()), DATAGRAMS)));
                 }
+                let ways = Arc::new(ways);
+                ways.keys().for_each(|n| drop(tokio::spawn(datagrams(*n, ways.clone(), shared.clone()))));
                 let _ = stopped.wait_for(|stop| *stop).await;
             });
         });
@@ -173,3 +186,50 @@
         }
     }
 }
+
+type Ways = Arc<HashMap<usize, (Arc<UdpSocket>, SocketAddr)>>;
+
+/// Carries what is sent to one process by datagram, so that it comes from the address that the sender is known by.
+async fn datagrams(to: usize, ways: Ways, shared: Shared) {
+    let (socket, _) = ways[&to].clone();
+    let mut bytes = vec![0; 2048];
+    while let Ok((length, source)) = socket.recv_from(&mut bytes).await {
+        let from = usize::from(host(source));
+        let Some((_, own)) = ways.get(&from) else { continue };
+        *shared.bytes.lock().expect("a lock").entry((from, to)).or_insert(0) += length;
+        let link = shared.links.borrow().get(&(from, to)).copied().unwrap_or_default();
+        if link.cut || rand::random_bool(link.lost) {
+            continue;
+        }
+        let asks = source.port() != own.port();
+        for _ in 0..1 + usize::from(rand::random_bool(link.doubled)) {
+            let later = if rand::random_bool(link.put_off) { rand::random_range(0..300) } else { 0 };
+            let delay = Duration::from_millis(link.delay_ms + later);
+            let (ways, bytes) = (ways.clone(), bytes[..length].to_vec());
+            let carried = async move {
+                sleep(delay).await;
+                if asks {
+                    ask(&ways, from, to, source, &bytes).await
+                } else {
+                    pass(&ways, from, to, &bytes).await
+                }
+            };
+            tokio::spawn(carried);
+        }
+    }
+}
+
+async fn pass(ways: &Ways, from: usize, to: usize, bytes: &[u8]) {
+    let _ = ways[&from].0.send_to(bytes, ways[&to].1).await;
+}
+
+/// A question from a socket that only asks: the one answer goes back there.
+async fn ask(ways: &Ways, from: usize, to: usize, source: SocketAddr, bytes: &[u8]) {
+    let Ok(at) = ways[&from].0.local_addr() else { return };
+    let Ok(socket) = UdpSocket::bind(SocketAddr::new(at.ip(), 0)).await else { return };
+    let _ = socket.send_to(bytes, ways[&to].1).await;
+    let mut answer = vec![0; 2048];
+    if let Ok(Ok((length, _))) = timeout(Duration::from_secs(1), socket.recv_from(&mut answer)).await {
+        let _ = ways[&to].0.send_to(&answer[..length], source).await;
+    }
+}
