--- a/benches/view/main.rs
+++ b/benches/view/main.rs
@@ -121,6 +121,7 @@
     let (hundred, thousand) = (all[1].1, all[2].1);
     report.most("datagrams at 1,000 nodes beside 100", thousand.0 / hundred.0, 1.3);
     report.most("bytes at 1,000 nodes beside 100", thousand.1 / hundred.1, 1.3);
+    report.most("processor time at 1,000 nodes beside 100", thousand.2 / hundred.2, 1.3);
 }
 
 fn processes(report: &mut Report) {
