--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 measure-view:
 	cargo bench --locked --bench view
 
-# What copies keep under faults and what they cost. PART=growth, cost, repair, losses or histories; SMALL=1 less.
+# What copies keep under faults and what they cost. PART=growth, cost, repair, losses or histories; SMALL=1
+# less, COUNT=30 so many histories and losses (300 and 100 take most of two hours).
 measure-copies:
 	cargo bench --locked --bench copies
 	cargo test --locked --test copies_model -- --ignored --nocapture
--- a/benches/copies/main.rs
+++ b/benches/copies/main.rs
@@ -1,5 +1,6 @@
 //! What copies keep under faults and what they cost, a line a figure with the bar that it is held to. Histories of real
-//! processes and of simulated ones come from seeds; PART chooses one part, SMALL=1 less of each.
+//! processes and of simulated ones come from seeds; PART chooses one part, SMALL=1 less of each,
+//! COUNT another number of histories of real processes and of machines lost.
 
 #[path = "../shared/report.rs"]
 mod report;
@@ -27,6 +28,11 @@
     std::env::var_os("SMALL").is_some()
 }
 
+/// How many, where it is not said otherwise.
+fn count(usual: u64) -> u64 {
+    std::env::var("COUNT").ok().and_then(|count| count.parse().ok()).unwrap_or(usual)
+}
+
 fn serving(count: usize, more: &str) -> (Rig, Work) {
     let mut rig = Rig::new(count);
     let work = Work::default();
@@ -141,7 +147,7 @@
 }
 
 fn histories(report: &mut Report) {
-    let (real, simulated) = if small() { (4, 100) } else { (60, 2000) };
+    let (real, simulated) = if small() { (count(4), 100) } else { (count(300), 2000) };
     let mut sum = Sum::default();
     for seed in 0..real {
         let (seen, had_to) = real_history(seed);
@@ -175,7 +181,7 @@
 
 /// Machines lost with their disks while callers ask: what was answered is asked for again at another node.
 fn losses(report: &mut Report) {
-    let rounds = if small() { 3 } else { 100 };
+    let rounds = count(if small() { 3 } else { 100 });
     let (mut gone, mut times) = (0, Vec::new());
     let rng = &mut SmallRng::seed_from_u64(11);
     for round in 0..rounds {
@@ -267,6 +273,19 @@
     let mut all = Vec::new();
     for nodes in [3, 10, 30, 60] {
         let mut world = World::new(5, nodes, 3);
+        // Each node asks once for the clock of each holder, with two messages; that is over before long.
+        let first = world.messages;
+        for key in 0..nodes as u64 * nodes as u64 * 2 {
+            world.ask(key as usize % nodes, 1_000_000 + key);
+            if key % 32 == 0 {
+                world.run_for(5);
+            }
+        }
+        let keys = (nodes * nodes * 2) as f64;
+        report.plain(
+            &format!("messages a key among {nodes} nodes that have just begun"),
+            (world.messages - first) as f64 / keys,
+        );
         world.run_for(3000);
         let idle = {
             let before = world.messages;
--- a/benches/view/main.rs
+++ b/benches/view/main.rs
@@ -8,21 +8,25 @@
 #[path = "../../tests/support/mod.rs"]
 mod support;
 
+use std::hint::black_box;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use report::Report;
 use rig::fleet::STORE;
 use rig::sim::Sim;
 use rig::{PATIENCE, Rig, until};
-use sillflow::fleet::liveness::Care;
+use sillflow::fleet::liveness::{Care, Datagram, Liveness};
 use sillflow::fleet::rumours::State;
 use sillflow::fleet::wire::Question;
 
 /// Real processes.
 const PROCESSES: usize = 100;
 const CRASHES: usize = 3;
+/// Times that one machine's inputs are given to it again, to measure its processor time.
+const REPLAYS: u32 = 100;
 /// Seeds of each figure of the machines.
 const SEEDS: u64 = 3;
 /// The first incarnation where the size of datagrams is measured.
@@ -96,7 +100,8 @@
 fn cost(nodes: u64) -> (f64, f64, f64) {
     // Incarnations of a fleet that has lived for a while: numbers of as many bytes, however many nodes there are.
     let mut sim = Sim::of(OLD..=OLD + nodes - 1, 7, Care::default());
-    let began = Instant::now();
+    sim.watched = OLD + nodes - 1;
+    let machine = sim.machine(sim.watched).clone();
     for round in 0..3 {
         sim.until(10_000 * (round + 1));
         sim.kill(OLD + round);
@@ -104,11 +109,27 @@
     sim.until(40_000);
     let node_seconds = nodes as f64 * 40.0;
     let (sent, _, _) = sim.counts();
-    (
-        sent as f64 / node_seconds,
-        sim.bytes as f64 / node_seconds,
-        began.elapsed().as_micros() as f64 / node_seconds,
-    )
+    (sent as f64 / node_seconds, sim.bytes as f64 / node_seconds, alone(&machine, &sim.trace) / 40.0)
+}
+
+/// Processor time in us of one machine that gets these inputs again, alone: beside all others it would be measured how well
+/// a thousand tables share one cache.
+fn alone(machine: &Liveness, trace: &[(u64, Option<Datagram>)]) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut spent = Duration::ZERO;
+    for _ in 0..REPLAYS {
+        let mut machine = machine.clone();
+        let began = Instant::now();
+        for (now, heard) in trace {
+            match heard {
+                Some(datagram) => black_box(machine.hear(*now, datagram)),
+                None => black_box(machine.tick(*now, &mut rng)),
+            };
+            black_box(machine.wake_at());
+        }
+        spent += began.elapsed();
+    }
+    spent.as_secs_f64() * 1e6 / f64::from(REPLAYS)
 }
 
 fn costs(report: &mut Report) {
--- a/tests/rig/relay.rs
+++ b/tests/rig/relay.rs
@@ -210,7 +210,10 @@
             let delay = Duration::from_millis(link.delay_ms + later);
             let (ways, bytes) = (ways.clone(), bytes[..length].to_vec());
             let carried = async move {
-                sleep(delay).await;
+                // A wait of nothing would last a tick of the clock.
+                if !delay.is_zero() {
+                    sleep(delay).await;
+                }
                 if asks {
                     ask(&ways, from, to, source, &bytes).await
                 } else {
--- a/tests/rig/sim.rs
+++ b/tests/rig/sim.rs
@@ -35,6 +35,9 @@
     pub loss: f64,
     /// Directions that nothing passes.
     pub cut: BTreeSet<(u64, u64)>,
+    /// The node whose inputs are written down: what it hears, or that it wakes, and when.
+    pub watched: u64,
+    pub trace: Vec<(u64, Option<Datagram>)>,
 }
 
 /// Datagrams that wait for a node that has no core; what comes on top is lost, as in a full socket.
@@ -68,6 +71,8 @@
             bytes: 0,
             loss: 0.0,
             cut: BTreeSet::new(),
+            watched: 0,
+            trace: Vec::new(),
         }
     }
 
@@ -126,6 +131,9 @@
             return;
         }
         let out = node.machine.hear(now, &datagram);
+        if to == self.watched {
+            self.trace.push((now, Some(datagram)));
+        }
         self.settle(to);
         self.send(out);
     }
@@ -139,6 +147,9 @@
             out.extend(node.machine.hear(now, &datagram));
         }
         out.extend(node.machine.tick(now, &mut self.rng));
+        if id == self.watched {
+            self.trace.push((now, None));
+        }
         self.settle(id);
         self.send(out);
     }
