--- a/benches/copies/main.rs
+++ b/benches/copies/main.rs
@@ -20,7 +20,7 @@
 use rand::{Rng, SeedableRng};
 use report::Report;
 use rig::copied::{Broken, Seen, World, judge};
-use rig::copies::{End, History, Work, note, request};
+use rig::copies::{End, History, Work, note, request, serving};
 use rig::{PATIENCE, Rig, until};
 use sillflow::fleet::wire::Question;
 
@@ -33,14 +33,6 @@
     std::env::var("COUNT").ok().and_then(|count| count.parse().ok()).unwrap_or(usual)
 }
 
-fn serving(count: usize, more: &str) -> (Rig, Work) {
-    let mut rig = Rig::new(count);
-    let work = Work::default();
-    rig.work = Some(work.clone());
-    rig.copying(count, more);
-    (rig, work)
-}
-
 /// What a set of histories came to.
 #[derive(Default)]
 struct Sum {
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -7,21 +7,12 @@
 use std::sync::atomic::Ordering::SeqCst;
 
 use rig::copied::{Seen, judge};
-use rig::copies::{End, Work};
+use rig::copies::{End, Work, serving};
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
 use sillflow::fleet::wire::Question;
 use support::operate;
 
-/// A rig whose nodes serve.
-fn serving(count: usize, more: &str) -> (Rig, Work) {
-    let mut rig = Rig::new(count);
-    let work = Work::default();
-    rig.work = Some(work.clone());
-    rig.copying(count, more);
-    (rig, work)
-}
-
 fn judged(work: &Work) {
     let seen = work.seen.lock().expect("a lock").clone();
     assert_eq!(judge(&seen), [], "{seen:?}");
--- a/tests/rig/copies.rs
+++ b/tests/rig/copies.rs
@@ -117,6 +117,15 @@
     Gone,
 }
 
+/// A rig whose nodes serve, copy and have settled who holds what.
+pub fn serving(count: usize, more: &str) -> (Rig, Work) {
+    let mut rig = Rig::new(count);
+    let work = Work::default();
+    rig.work = Some(work.clone());
+    rig.copying(count, more);
+    (rig, work)
+}
+
 impl Rig {
     /// The operator's file of a node that copies, in one of three zones.
     pub fn copies_table(&self, n: usize, more: &str) -> String {
