Tell callers credit for what can run in time, and serve work within shares first

Cause: say() gave 2 x the run limit times the part not refused, shared among callers. Change: credit is twice an even part of the places: runs, and what can wait for a run within the aims (Little's law). The part within a share counts to the third power.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -95,9 +95,14 @@
 /// arrivals, and refusals less than that one where further tries are not marked and may go unseen.
 const WALK_FURTHER: f64 = 0.13;
 const WALK_REFUSED: f64 = 0.5;
-/// Least free value, so that callers look again, and requests let in for each that may run.
+/// Least free value, so that callers look again, and the multiple of an even part of the places here that
+/// each caller may take: callers are uneven, and places that one leaves are of no use to the others.
 const SAY_LEAST: f64 = 0.05;
-const SAY_CREDIT: f64 = 2.0;
+const SAY_UNEVEN: f64 = 2.0;
+/// Power to which the part of a tenant's requests within its share counts: all of them rank alike, so one
+/// that sends three times its share must rank near what its next request is worth, beyond the share, while
+/// one that is over it by the chance of a few seconds must not.
+const SHARE_POWER: i32 = 3;
 /// Idle connections for each core that are kept open for their callers while cores are busy, where each takes
 /// core time that runs want, and while they idle, where a new connection is the dearer of the two.
 const IDLE_LINKS: (f64, f64) = (3.0, 24.0);
@@ -676,7 +681,7 @@
         if !further {
             count.count(self.now, &TRAFFIC_SPAN);
         }
-        within + (1.0 - within) * self.set.over_share_worth
+        (within + (1.0 - within) * self.set.over_share_worth).powi(SHARE_POWER)
     }
 
     fn density(&self, class: usize) -> f64 {
@@ -998,17 +1003,29 @@
         }
     }
 
-    /// Tells callers how much of the usual traffic is wanted: what is not refused now.
+    /// Requests that are of use here at once: those that may run, and those that can wait for a run to end
+    /// within their aims (Little's law). What is slow has fewer, and a refusal takes up none.
+    fn places(&self) -> f64 {
+        let classes = self.set.classes.iter().zip(&self.times).filter(|(class, _)| !class.retired);
+        let sum =
+            |(aim, slot), (class, times): (&Class, &RunTimes)| (aim + class.aim_ms, slot + times.slot.value);
+        let (aims, slots) = classes.fold((0.0, 0.0), sum);
+        self.limit.limit * (1.0 + aims / slots.max(1.0))
+    }
+
+    /// Tells callers how much of the usual traffic is wanted, what is not refused now, or how many requests
+    /// each may have here: what is turned away at once has no place, so refusals do not lower that.
     fn say(&mut self, out: &mut Vec<Action>) {
         let taken = 1.0 - self.refused.faded(self.now, &ARRIVALS_SPAN);
-        let open = if self.leaving.is_some() { 0.0 } else { taken.min(self.warmth()) };
+        let warm = if self.leaving.is_some() { 0.0 } else { self.warmth() };
+        let open = taken.min(warm);
         let value = match self.set.say {
             SayKind::Off => return,
             SayKind::Weight => open.max(SAY_LEAST),
             SayKind::Level => 1.0 - open,
             // Callers that outnumber the places may each send one: most have nothing out here at any time.
             SayKind::Credit => {
-                open * (SAY_CREDIT * self.limit.limit / f64::from(self.set.callers.max(1))).max(1.0)
+                warm * (SAY_UNEVEN * self.places() / f64::from(self.set.callers.max(1))).max(1.0)
             }
         };
         out.push(Action::Say(value));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -464,6 +464,78 @@
     assert!(said(2).is_some_and(|credit| credit >= 2.0));
 }
 
+/// The last free value of these actions.
+fn last_said(out: &[Action]) -> f64 {
+    let said = |action: &Action| if let Action::Say(value) = action { Some(*value) } else { None };
+    out.iter().filter_map(said).next_back().expect("a free value")
+}
+
+#[test]
+fn credit_is_for_what_can_run_in_time_and_refusals_take_none_of_it() {
+    let credit = || Settings { say: SayKind::Credit, callers: 2, ..settings() };
+    let mut script = Script::new(credit());
+    for id in 1..60 {
+        run_through(&mut script, id, PLAIN, 100.0);
+    }
+    let quick = last_said(&script.idle(600.0, 0.5));
+    // Two cores and aims of 1,000 ms; the classes that did not run count with their first guess of 150 ms.
+    assert!(
+        (10.0..=30.0).contains(&quick),
+        "about 2 x (1 + 1000 / 133) places for two uneven callers: {quick}"
+    );
+    let mut refusals = 0;
+    for id in 100..160 {
+        refusals += usize::from(refused(&script.submit(id, PLAIN), id));
+    }
+    let full = last_said(&script.idle(600.0, 1.3));
+    assert!(refusals > 20, "{refusals}");
+    assert!(full >= 0.9 * quick, "what is turned away at once takes no place: {full} of {quick}");
+
+    let mut slow = Script::new(credit());
+    for id in 1..60 {
+        run_through(&mut slow, id, PLAIN, 900.0);
+    }
+    let slow_credit = last_said(&slow.idle(600.0, 0.5));
+    assert!(slow_credit < 0.7 * quick, "long runs let fewer wait for them: {slow_credit} of {quick}");
+
+    let cold = last_said(&Script::new(Settings { cold: true, ..credit() }).idle(600.0, 0.5));
+    let warm = last_said(&Script::new(credit()).idle(600.0, 0.5));
+    assert!(cold < 0.4 * warm, "a cold server has fewer: {cold} of {warm}");
+    let stop_at = script.now + 5000.0;
+    assert_eq!(last_said(&script.after(1.0, &[Event::Drain { stop_at }])), 0.0);
+}
+
+#[test]
+fn work_within_shares_is_served_first_and_chance_counts_for_little() {
+    // At a second each: one tenant sends three times its share, one all of its own, on cores that can do half.
+    let tenants = vec![Tenant { quota_per_s: 40.0 }, Tenant { quota_per_s: 40.0 }];
+    let set = Settings { tenants, over_share_worth: 0.05, memory_kb: 0.0, ..settings() };
+    let mut script = Script::new(set);
+    let (mut refusals, mut sent, mut open) = ([0, 0], [0, 0], Vec::new());
+    for id in 0..1600 {
+        let tenant = usize::from(id % 4 == 3);
+        let mut asked = request(id, PLAIN);
+        asked.tenant = tenant;
+        let mut out = script.after(25.0, &[Event::Request(asked)]);
+        if id % 4 == 0 {
+            for done in std::mem::take(&mut open) {
+                out.extend(script.done(0.0, done));
+            }
+        }
+        open.extend(out.iter().filter_map(|a| if let Action::Run(id) = a { Some(id.0) } else { None }));
+        sent[tenant] += 1;
+        for action in &out {
+            if let Action::Refuse { id, .. } = action {
+                refusals[usize::from(id.0 % 4 == 3)] += 1;
+            }
+        }
+        script.after(0.0, &[Event::Timer(sillflow::Gauges { core_use: Some(1.0), on_cores: Some(2.6) })]);
+    }
+    let part = |tenant: usize| f64::from(refusals[tenant]) / f64::from(sent[tenant]);
+    assert!(part(0) > 0.3, "{refusals:?} of {sent:?}");
+    assert!(part(1) < 0.06, "{refusals:?} of {sent:?}");
+}
+
 #[test]
 fn idle_connections_follow_core_use_and_a_flood_keeps_the_table_full() {
     let closes = |demand: f64, waited_ms: f64| {
