Hold requests to the due time that their callers tell, on both fronts

A front end says in `timeout` how long it waits, from `ts`. The node did not read it: it held every request to its class's limit, and so ran and answered what nobody waited for.

The field is read on both fronts (AJP: `Op-Timeout-Ms`) and checked for its range. Each entry of the exchange has one due time, by which the failsafe, the claim and the copies of a result, and calls below count; the decision module is told it where the caller tells it. A notice to leave brings it forward to the stop. A request that is due within 40 ms of its reading is refused unrun and takes no held try's place; where its key has run it fails or shares. A key with its result stays for as long as a repeat that came in its window waits.

--- a/src/exchange/claims.rs
+++ b/src/exchange/claims.rs
@@ -54,8 +54,7 @@
 
     /// Time that a request has left, in ms, ahead of the failsafe.
     fn left_ms(&self, entry: &Entry) -> f64 {
-        let deadline = self.site.settings.classes[entry.class].deadline_ms;
-        entry.arrived + deadline - FAILSAFE_MS - AHEAD_MS - self.clock.now()
+        entry.due - FAILSAFE_MS - AHEAD_MS - self.clock.now()
     }
 
     /// Claims the key of a request that is to run.
@@ -154,8 +153,8 @@
     fn drop_claim(&mut self, id: RequestId, state: &State, known: bool) {
         let Some(entry) = self.entries.remove(&id) else { return };
         self.forget_try(entry.of, id);
-        if let Some(due) = entry.due {
-            self.waits.try_remove(&due);
+        if let Some(failsafe) = entry.failsafe {
+            self.waits.try_remove(&failsafe);
         }
         let Some(key) = entry.key else { return };
         let waiting = self.kept.end(&key, id, state.clone(), None);
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -27,6 +27,8 @@
 const BATCH: usize = 512;
 /// How long before a request is due it is answered whatever the decision module does, in ms.
 pub(super) const FAILSAFE_MS: f64 = 20.0;
+/// A request that is due sooner than this when it is read is refused at once, in ms: no run would end in time.
+const HOPELESS_MS: f64 = 2.0 * FAILSAFE_MS;
 /// Gauges that take longer than this to come are done without, in ms.
 const GAUGES_MS: u64 = 15;
 /// How much sooner than its process is stopped a node is done with all requests, in ms.
@@ -129,8 +131,10 @@
     hint_ms: Option<f64>,
     /// Gone once the request is answered or given up.
     pub(super) reply: Option<ReplyTo>,
-    /// Gone once the wait is over or called off: the queue uses its keys again.
-    pub(super) due: Option<delay_queue::Key>,
+    /// When its answer is due at the latest, by the exchange's clock, in ms.
+    pub(super) due: f64,
+    /// The wait until it is nearly due. Gone once that is over or called off: the queue uses its keys again.
+    pub(super) failsafe: Option<delay_queue::Key>,
     pub(super) phase: Phase,
 }
 
@@ -169,6 +173,8 @@
     up: bool,
     /// Whether the notice to leave has come.
     leaving: bool,
+    /// When all that is open is to be answered, as the process is stopped then; infinite without a notice.
+    stop_at: f64,
     /// What the decision module says of its health, and what the operator wishes.
     wants_traffic: bool,
     pub(super) maintenance: bool,
@@ -213,6 +219,7 @@
             odd: BTreeMap::new(),
             up: false,
             leaving: false,
+            stop_at: f64::INFINITY,
             wants_traffic: false,
             maintenance: false,
             successor: None,
@@ -301,13 +308,32 @@
                 self.leaving = true;
                 self.stand();
                 if self.up {
-                    let stop_at = self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0);
-                    self.events.push(Event::Drain { stop_at });
+                    self.stop_by(self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0));
                 }
             }
         }
     }
 
+    /// Has all that is open answered by then, however long its callers would wait.
+    fn stop_by(&mut self, stop_at: f64) {
+        // A further notice does not put the stop off.
+        let stop_at = self.stop_at.min(stop_at);
+        self.stop_at = stop_at;
+        let left = self.failsafe_in(stop_at);
+        for entry in self.entries.values_mut().filter(|entry| entry.due > stop_at) {
+            entry.due = stop_at;
+            if let Some(failsafe) = &entry.failsafe {
+                self.waits.reset(failsafe, left);
+            }
+        }
+        self.events.push(Event::Drain { stop_at });
+    }
+
+    /// How long the failsafe of a request that is due then has to wait.
+    fn failsafe_in(&self, due: f64) -> Duration {
+        span(due - FAILSAFE_MS - self.clock.now())
+    }
+
     /// Works on under new settings. Callers hear of them later than the node: for a while a class that was
     /// dropped is served beside those that were added.
     fn retune(&mut self, new: Site) {
@@ -377,26 +403,32 @@
             reply.send(answer, self.posture.level);
             return self.note(Oddity::TableFull, ask.of);
         }
-        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived));
+        let told = ask.patience_ms.map(|patience_ms| arrived + patience_ms);
+        let due = told.unwrap_or(arrived + class.deadline_ms).min(self.stop_at);
+        // One that can only be refused carries no key: another try that is held under it goes on.
+        let hopeless = due <= now + HOPELESS_MS;
+        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
         if self.successor.is_some() && earlier.is_none() && key.as_ref().is_some_and(Key::is_operation) {
             // Guards against a second run: the next process may have begun one. A refusal would deny that.
             reply.send(Answer::Failed, self.posture.level);
             return self.note(Oddity::Handed, ask.of);
         }
-        if let Some(key) = &key
-            && (earlier.is_none() || matches!(key, Key::Operation(..)))
+        if let Some(key) = key.as_ref().filter(|_| !hopeless)
+            && (earlier.is_none() || key.is_operation())
         {
             // The newest try of an operation carries it, so a third try in one batch repeats the second.
             self.kept.hold(key, id, arrived, digest);
         }
-        let left_ms = (class.deadline_ms - ask.waited_ms - FAILSAFE_MS).max(0.0);
-        let due = Some(self.waits.insert(Wait::Due(id), Duration::from_secs_f64(left_ms / 1000.0)));
+        if let Some(key) = key.as_ref().filter(|key| key.is_operation()) {
+            self.kept.look_up_until(key, due);
+        }
+        let failsafe = Some(self.waits.insert(Wait::Due(id), self.failsafe_in(due)));
         self.events.push(Event::Request(Request {
             id,
             class: ask.class,
             tenant: ask.tenant,
             key: ask.subject,
-            due: None,
+            due: told,
             hint_ms: ask.hint_ms,
             held_kb: ask.held_kb,
             waited_ms: ask.waited_ms,
@@ -407,8 +439,21 @@
         let Ask { of, class, body, hint_ms, .. } = ask;
         let (reply, phase) = (Some(reply), Phase::Held);
         let (claimed, claim_ms) = (false, 0.0);
-        let entry =
-            Entry { of, class, key, digest, arrived, body, claimed, claim_ms, hint_ms, reply, due, phase };
+        let entry = Entry {
+            of,
+            class,
+            key,
+            digest,
+            arrived,
+            body,
+            claimed,
+            claim_ms,
+            hint_ms,
+            reply,
+            due,
+            failsafe,
+            phase,
+        };
         self.entries.insert(id, entry);
     }
 
@@ -428,8 +473,8 @@
     /// Drops what is left of a request that is owed no answer any more. A run goes on to its end.
     pub(super) fn settled(&mut self, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        if let Some(due) = entry.due.take() {
-            self.waits.try_remove(&due);
+        if let Some(failsafe) = entry.failsafe.take() {
+            self.waits.try_remove(&failsafe);
         }
         if let Phase::Waiting(pending) = &mut entry.phase {
             pending.placed = None;
@@ -478,8 +523,8 @@
         let Some(reply) = entry.reply.take() else { return false };
         debug!("{} {}", entry.of, answer.kind());
         reply.send(answer, self.posture.level);
-        if let Some(due) = entry.due.take() {
-            self.waits.try_remove(&due);
+        if let Some(failsafe) = entry.failsafe.take() {
+            self.waits.try_remove(&failsafe);
         }
         true
     }
@@ -577,7 +622,7 @@
             }
             Wait::Due(id) => self.overdue(id),
             Wait::Lost(id) => self.give_up(id),
-            Wait::Key(key, id) => self.kept.expire(&key, id),
+            Wait::Key(key, id) => self.key_outlived(key, id),
             Wait::Copy(id) => self.copy_late(id),
             Wait::Retired(retuned) if retuned == self.retuned => self.offer(false),
             Wait::Retired(_) => {}
@@ -589,6 +634,14 @@
         }
     }
 
+    /// Drops a kept key once nobody looks its result up any more: some callers wait longer than its class's limit.
+    fn key_outlived(&mut self, key: Key, id: RequestId) {
+        match self.kept.looked_up_until(&key, id).map(|until| until - self.clock.now()) {
+            Some(left_ms) if left_ms > 0.0 => drop(self.waits.insert(Wait::Key(key, id), span(left_ms))),
+            _ => self.kept.expire(&key, id),
+        }
+    }
+
     /// Counts what should not happen. Guards the log against a line for each request when much goes wrong.
     pub(super) fn note(&mut self, oddity: Oddity, of: TryId) {
         debug!("{of} {oddity}");
@@ -605,7 +658,7 @@
     /// Guards against a decision module or a processor that says nothing: no request stays without answer.
     fn overdue(&mut self, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        entry.due = None;
+        entry.failsafe = None;
         let of = entry.of;
         let answer = match entry.phase {
             Phase::Held => Answer::Refused { stay_away_ms: 0.0, last: false },
@@ -722,7 +775,7 @@
         pending.placed = Some((self.serials, placed));
         let (of, body, work) = (entry.of, pending.body.clone(), entry.hint_ms);
         let safe = self.site.settings.classes[entry.class].effect == Effect::Safe;
-        let wait_ms = (give_up_at - now).max(1.0);
+        let wait_ms = (give_up_at.min(entry.due) - now).max(1.0);
         let call = Call { id, serial: self.serials, of, wait_ms, work, body, safe, given_up };
         let _ = self.out.to_below.send(call);
     }
@@ -761,6 +814,11 @@
     }
 }
 
+/// A wait of so many ms; none where they are gone already.
+fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+}
+
 /// How long after its arrival a run has repeats.
 fn whole_ms(settings: &Settings, class: usize) -> f64 {
     settings.classes[class].window_ms + settings.answer_slack_ms + 2.0 * WIRE_SLACK_MS
--- a/src/exchange/kept.rs
+++ b/src/exchange/kept.rs
@@ -48,6 +48,8 @@
     pub state: State,
     /// Requests that arrive later than this are not repeats of the run, in ms.
     pub until: f64,
+    /// When the last of those that may look up what came of it is due, in ms.
+    looked_up: f64,
     waiting: Vec<RequestId>,
     /// The body of its tries, in short.
     pub digest: u64,
@@ -107,7 +109,8 @@
 
     /// Enters a key that another process of this node has in hand. Nothing displaces it within its window.
     pub fn adopt(&mut self, key: Key, holder: RequestId, until: f64, digest: u64) {
-        let row = Row { holder, state: State::Running, until, waiting: Vec::new(), digest };
+        let (state, looked_up) = (State::Running, f64::NEG_INFINITY);
+        let row = Row { holder, state, until, looked_up, waiting: Vec::new(), digest };
         self.take(&key);
         self.bytes += row.bytes();
         self.rows.insert(key, row);
@@ -120,9 +123,22 @@
             .is_some_and(|row| key.is_operation() && arrived <= row.until && row.digest != digest)
     }
 
-    /// The try that a request arriving at `arrived` repeats.
-    pub fn earlier(&self, key: &Key, arrived: f64) -> Option<RequestId> {
-        self.rows.get(key).filter(|row| arrived <= row.until).map(|row| row.holder)
+    /// The try that a request arriving at `arrived` repeats; for one that cannot carry the key, only one that has begun.
+    pub fn earlier(&self, key: &Key, arrived: f64, begun: bool) -> Option<RequestId> {
+        let row = self.rows.get(key).filter(|row| arrived <= row.until)?;
+        (!begun || row.state != State::Held).then_some(row.holder)
+    }
+
+    /// Notes that a try that is due then may look up what came of the key.
+    pub fn look_up_until(&mut self, key: &Key, due: f64) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.looked_up = row.looked_up.max(due);
+        }
+    }
+
+    /// When the last of those that may look up what came of the try of `id` is due, where that holds the key still.
+    pub fn looked_up_until(&self, key: &Key, id: RequestId) -> Option<f64> {
+        self.rows.get(key).filter(|row| row.holder == id).map(|row| row.looked_up)
     }
 
     /// Whether the table has no room for a further key.
@@ -138,8 +154,9 @@
         {
             return;
         }
-        let waiting = self.take(key).map_or_else(Vec::new, |row| row.waiting);
-        let row = Row { holder: id, state: State::Held, until: f64::INFINITY, waiting, digest };
+        let (waiting, looked_up) =
+            self.take(key).map_or((Vec::new(), f64::NEG_INFINITY), |row| (row.waiting, row.looked_up));
+        let row = Row { holder: id, state: State::Held, until: f64::INFINITY, looked_up, waiting, digest };
         self.bytes += row.bytes();
         self.rows.insert(key.clone(), row);
     }
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -68,6 +68,8 @@
     pub held_kb: f64,
     /// Time since it came to the machine, in ms.
     pub waited_ms: f64,
+    /// How long after it came to the machine its caller gives up, in ms; the class's limit where it is not told.
+    pub patience_ms: Option<f64>,
     /// The body, as it came.
     pub body: Bytes,
 }
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -173,6 +173,7 @@
         let fields = Fields {
             req: self.header(UNCODED, "op-req"),
             ts: self.header(UNCODED, "op-ts"),
+            timeout_ms: self.header(UNCODED, "op-timeout-ms"),
             owner: self.header(UNCODED, "op-owner"),
             resent: self.header(UNCODED, "op-resent"),
             work_ms: self.header(UNCODED, "op-work-ms"),
--- a/src/front/fields.rs
+++ b/src/front/fields.rs
@@ -15,6 +15,8 @@
 const TIMES_MS: (f64, f64) = (1_000.0, 600_000.0);
 /// The most work that a request may announce, in ms.
 const WORK_MS: f64 = 600_000.0;
+/// The longest that a request's caller may wait for it, in ms.
+const PATIENCE_MS: f64 = 600_000.0;
 /// The memory that a request may book stays under this, in kB.
 const NEED_KB: f64 = 2_000.0;
 
@@ -44,6 +46,7 @@
 pub(super) struct Fields<'a> {
     pub req: Option<&'a str>,
     pub ts: Option<&'a str>,
+    pub timeout_ms: Option<&'a str>,
     pub via: Option<&'a str>,
     pub owner: Option<&'a str>,
     pub resent: Option<&'a str>,
@@ -79,6 +82,7 @@
             held_kb: need.unwrap_or(0.0),
             // A clock that is behind the caller's counts as none.
             waited_ms: ts.map_or(0.0, |ts| since(ts).max(0.0)),
+            patience_ms: figure(self.timeout_ms, |ms| ms > 0.0 && ms <= PATIENCE_MS)?,
             body,
         })
     }
--- a/src/front/resp/wire.rs
+++ b/src/front/resp/wire.rs
@@ -127,6 +127,7 @@
         let field = match name {
             "req" => &mut fields.req,
             "ts" => &mut fields.ts,
+            "timeout" => &mut fields.timeout_ms,
             "via" => &mut fields.via,
             "owner" => &mut fields.owner,
             "resent" => &mut fields.resent,
