Number a stand-in's notices as they are said, so that no run's end is passed over

The views test failed about three times of seven with `4: Failed`. It was neither the copies nor the promise: in each of ten failures that were followed, every slot had settled 80 ms and more before the first result, and the failing request's end never came to the copies. The processor's stand-in numbered a run's end when the run began. Runs of one length begin within a millisecond of each other and may end in the other order; a node takes a notice with a lower number than the last for one that it has read before, as it must after a link that broke, and passes it over. The run then stayed without end until its caller was due.

The stand-in now numbers a notice under the lock it is written under, and goes on from the number that the node names in its hello. A test has three runs end in the opposite order: it fails with the stand-in as it was.

--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -161,6 +161,27 @@
     assert!(done > 100, "{done} of 120");
 }
 
+#[rstest]
+fn runs_that_end_in_another_order_than_they_began_all_have_their_results() {
+    let (rig, work) = serving(3, "");
+    let callers: Vec<_> = [(0, 600), (1, 300), (2, 0)]
+        .into_iter()
+        .map(|(key, takes_ms)| {
+            work.takes_ms.store(takes_ms, SeqCst);
+            let at = rig.serves(1);
+            let caller = std::thread::spawn(move || rig::copies::request(at, key));
+            until("it runs", PATIENCE, || work.runs(key) == [1]);
+            (key, caller)
+        })
+        .collect();
+    for (key, caller) in callers {
+        let end = caller.join().expect("a caller");
+        rig::copies::note(&work.seen, key, &end);
+        assert!(matches!(end, End::Done(_)), "{key}: {end:?}");
+    }
+    judged(&work);
+}
+
 #[rstest]
 fn views_that_change_between_claim_and_result_lose_nothing() {
     let (rig, work) = serving(6, "");
--- a/tests/rig/copies.rs
+++ b/tests/rig/copies.rs
@@ -41,6 +41,26 @@
     at: Arc<Mutex<HashMap<usize, SocketAddr>>>,
 }
 
+/// A processor's way back to its node. Runs end in any order, and what is said of them is numbered in the order in which
+/// it is said: a node takes whatever has a lower number than the last for something that it has read before.
+struct Back {
+    link: TcpStream,
+    /// Of the last numbered notice.
+    seq: u64,
+}
+
+impl Back {
+    fn say(&mut self, notice: &Value) {
+        let _ = self.link.write_all(format!("{notice}\n").as_bytes());
+    }
+
+    fn number(&mut self, mut notice: Value) {
+        self.seq += 1;
+        notice["seq"] = self.seq.into();
+        self.say(&notice);
+    }
+}
+
 impl Work {
     /// The processor of a node, which is there from the first time that it is asked for.
     pub fn processor(&self, n: usize) -> SocketAddr {
@@ -61,32 +81,32 @@
 
     fn serve(&self, node: usize, link: TcpStream) -> Option<()> {
         let _ = link.set_nodelay(true);
-        let back = Arc::new(Mutex::new(link.try_clone().ok()?));
-        let say = |notice: &Value| {
-            let line = format!("{notice}\n");
-            let _ = back.lock().expect("a lock").write_all(line.as_bytes());
-        };
-        let mut seq = 0;
+        let back = Arc::new(Mutex::new(Back { link: link.try_clone().ok()?, seq: 0 }));
         for line in BufReader::new(link).lines().map_while(Result::ok) {
             let command: Value = serde_json::from_str(&line).ok()?;
+            let mut say = back.lock().expect("a lock");
             match command["op"].as_str()? {
-                "hello" => say(&json!({"op": "hi", "end": "warm", "ms": 5.0})),
-                "usage" => say(&json!({"op": "used", "tag": command["tag"], "values": [0.5, 1.0, 0.1, 3.0]})),
+                "hello" => {
+                    say.seq = command["seq"].as_u64()?;
+                    say.say(&json!({"op": "hi", "end": "warm", "ms": 5.0}));
+                }
+                "usage" => {
+                    say.say(&json!({"op": "used", "tag": command["tag"], "values": [0.5, 1.0, 0.1, 3.0]}))
+                }
                 "begin" => {
-                    seq += 1;
                     let body = STANDARD.decode(command["body"].as_str()?).ok()?;
                     let key: u64 = String::from_utf8(body).ok()?.parse().ok()?;
                     let run = self.runs.fetch_add(1, SeqCst) + 1;
                     self.seen.lock().expect("a lock").push(Seen::Began { key, run, node });
-                    let (takes, seq, id) = (self.takes_ms.load(SeqCst), seq, command["id"].clone());
+                    let (takes, id) = (self.takes_ms.load(SeqCst), command["id"].clone());
                     let more = "x".repeat(self.more_bytes.load(SeqCst) as usize);
                     let result = STANDARD.encode(format!("{run} {more}"));
                     let back = back.clone();
                     std::thread::spawn(move || {
                         std::thread::sleep(Duration::from_millis(takes));
-                        let notice = json!({"op": "complete", "seq": seq, "id": id, "end": "ok",
-                                            "ms": takes as f64 + 0.5, "body": result});
-                        let _ = back.lock().expect("a lock").write_all(format!("{notice}\n").as_bytes());
+                        let notice = json!({"op": "complete", "id": id, "end": "ok", "ms": takes as f64 + 0.5,
+                                            "body": result});
+                        back.lock().expect("a lock").number(notice);
                     });
                 }
                 _ => {}
