Take a processor that starts cold for cold, before and after new settings

The state in a processor's "hi" reached the decision module and was undone in the same call: the share of the memory was put in force from the settings as they stood, without it. Only "just-started" in the settings made a node cold, so an installation whose settings lack it ran as many at once as a warm node, which a cold one does not survive. New settings on SIGHUP ended the warming as well. The state is now kept with the site.

tests/retune.rs: two requests on a server that starts from nothing run one at a time when cold (two before), also after new settings, and together when warm.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -337,7 +337,9 @@
     /// Works on under new settings. Callers hear of them later than the node: for a while a class that was
     /// dropped is served beside those that were added.
     fn retune(&mut self, new: Site) {
-        let site = self.site.retuned(new);
+        let mut site = self.site.retuned(new);
+        // What the processor said of itself at its start holds whatever the new file says.
+        site.settings.cold |= self.site.settings.cold;
         if let Err(problem) = self.controller.retune(site.settings.clone()) {
             return warn!("the settings stay as they were: {problem}");
         }
@@ -365,9 +367,8 @@
             return;
         }
         info!("the processor is up, {} since {age_ms} ms", if cold { "cold" } else { "warm" });
-        let mut settings = self.site.settings.clone();
-        settings.cold |= cold;
-        if let Ok(controller) = Controller::new(self.seed, settings) {
+        self.site.settings.cold |= cold;
+        if let Ok(controller) = Controller::new(self.seed, self.site.settings.clone()) {
             self.controller = controller;
         }
         self.share_memory();
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Instant;
+
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::resp::FrontEnd;
-use support::{Node, settings, try_id};
+use support::{Node, PATIENCE, settings, try_id};
 
 /// Settings with another name for one class.
 fn renamed(class: usize, name: &str) -> Value {
@@ -101,3 +104,57 @@
     serve(&mut node, &mut front, 2, "pay-session");
     assert_eq!(node.call("GET", "/status"), 200);
 }
+
+/// Settings of a server that starts from nothing and takes a minute to warm: one run at a time until then.
+fn slow_to_warm() -> Value {
+    let mut settings = settings();
+    settings["rules"]["cold"] = json!(60_000.0);
+    settings["rules"]["cold-from"] = json!(0.0);
+    settings["classes"][1]["hard-limit"] = json!(30_000.0);
+    settings["classes"][1]["aim"] = json!(20_000.0);
+    settings
+}
+
+/// How many of two requests run at once.
+fn at_once(node: &mut Node, front: &mut FrontEnd, tag: u64) -> usize {
+    front.ask(tag, "plate-check", &try_id(tag), "", b"body");
+    front.ask(tag + 1, "plate-check", &try_id(tag + 1), "", b"body");
+    front.answer_to_status();
+    // The second question from here on was asked after both had been decided upon.
+    let asked = node.processor.questions.load(SeqCst);
+    let until = Instant::now() + PATIENCE;
+    while node.processor.questions.load(SeqCst) < asked + 2 && Instant::now() < until {
+        std::thread::yield_now();
+    }
+    let running = node.processor.count("begin");
+    for _ in 0..2 {
+        let begun = node.processor.begun();
+        node.processor.complete(&begun, b"well");
+        front.answer();
+    }
+    running
+}
+
+#[rstest]
+#[case::cold("cold", 1)]
+#[case::warm("warm", 2)]
+fn a_processor_that_starts_cold_is_taken_for_cold_and_new_settings_do_not_warm_it(
+    #[case] state: &str,
+    #[case] at_a_time: usize,
+) {
+    let mut node = Node::launch(slow_to_warm());
+    node.processor.greet(state);
+    node.reported("Ready");
+    let mut front = FrontEnd::connect(&node.resp);
+    assert_eq!(at_once(&mut node, &mut front, 1), at_a_time);
+    let mut new = slow_to_warm();
+    new["classes"][0]["name"] = "ledger".into();
+    node.retune(new);
+    node.logged("the classes are ledger, plate-check, pay-session");
+    // Open to new names once it is in force.
+    front.ask(10, "ledger", &try_id(10), "", b"body");
+    let begun = node.processor.begun();
+    node.processor.complete(&begun, b"well");
+    assert_eq!(front.answer().word, "done");
+    assert_eq!(at_once(&mut node, &mut front, 20), at_a_time);
+}
