Drop the free value when new settings give it another meaning

A value told under one meaning of "say" went out until the next period under another, where a level of 0 (all are welcome) reads as a credit of 0, and for good where the value was turned off. tests/retune.rs: a value that means nothing any more is told no longer (it was for the 20 s that the test waits).

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -343,6 +343,10 @@
         if let Err(problem) = self.controller.retune(site.settings.clone()) {
             return warn!("the settings stay as they were: {problem}");
         }
+        if site.settings.say != self.site.settings.say {
+            // Guards against a value that callers take for another one; the module tells the next in a period.
+            self.posture.level = None;
+        }
         self.site = site;
         self.share_memory();
         self.retuned += 1;
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -158,3 +158,20 @@
     assert_eq!(front.answer().word, "done");
     assert_eq!(at_once(&mut node, &mut front, 20), at_a_time);
 }
+
+#[rstest]
+fn the_free_value_ends_with_its_meaning() {
+    let node = Node::start();
+    let mut front = FrontEnd::connect(&node.resp);
+    let told = |front: &mut FrontEnd| front.answer_to_status().fields.contains("signal=");
+    let until = Instant::now() + PATIENCE;
+    while !told(&mut front) {
+        assert!(Instant::now() < until, "no value is told");
+    }
+    let mut silent = settings();
+    silent["family-info"]["say"] = "off".into();
+    node.retune(silent);
+    while told(&mut front) {
+        assert!(Instant::now() < until, "a value is told that means nothing");
+    }
+}
