--- a/tests/node.rs
+++ b/tests/node.rs
@@ -317,6 +317,31 @@
     assert_eq!(node.processor.count("begin"), 0);
 }
 
+#[rstest]
+fn a_full_table_of_keys_turns_away_new_ones_and_never_the_repeat_of_a_run() {
+    let mut settings = settings();
+    settings["classes"][2]["repeat-window"] = json!(30_000.0);
+    let mut config = support::config(settings);
+    config["limits"]["memory_mb"] = json!(1);
+    let mut node = Node::launch_as(config, "");
+    node.processor.greet("warm");
+    node.reported("Ready");
+    let mut front = FrontEnd::connect(&node.resp);
+    let result = [7; 4096];
+    // A quarter of the memory, by the room of a key with its result.
+    let room = 1024 * 1024 / 4 / (4096 + 512);
+    for tag in 1..=room {
+        let req = run(&mut node, &mut front, tag, "pay-session", &format!(",opkey={tag}"));
+        node.processor.complete(&req, &result);
+        assert_eq!(front.answer().word, "done");
+    }
+    front.ask(1000, "pay-session", &try_id(1000), ",opkey=new", b"body");
+    assert_eq!(front.answer().word, "later");
+    front.ask(1001, "pay-session", &try_id(1001), ",opkey=1", b"body");
+    let repeat = front.answer();
+    assert!(repeat.word == "done" && repeat.body == result, "{}", repeat.word);
+}
+
 #[rstest]
 fn a_run_whose_end_is_never_told_is_given_up() {
     let mut settings = settings();
