--- a/tests/support/resp.rs
+++ b/tests/support/resp.rs
@@ -70,6 +70,10 @@
             self.closing = true;
             words = self.words();
         }
+        Self::read(words)
+    }
+
+    fn read(mut words: Vec<Vec<u8>>) -> Answer {
         words.resize(4, Vec::new());
         let text = |word: &[u8]| String::from_utf8(word.to_vec()).expect("text");
         Answer { tag: text(&words[0]), word: text(&words[1]), fields: text(&words[2]), body: words.remove(3) }
@@ -83,6 +87,23 @@
         begins.then(|| self.answer())
     }
 
+    /// The next answer where one has come; whether there will be more. A connection given back is noted.
+    pub fn poll(&mut self) -> (Option<Answer>, bool) {
+        if self.reader.buffer().is_empty() {
+            self.stream.set_nonblocking(true).expect("an option");
+            let seen = self.stream.peek(&mut [0]);
+            self.stream.set_nonblocking(false).expect("an option");
+            match seen {
+                Ok(0) => return (None, false),
+                Ok(_) => {}
+                Err(problem) => return (None, problem.kind() == std::io::ErrorKind::WouldBlock),
+            }
+        }
+        let words = self.words();
+        self.closing |= words[1] == b"closing";
+        (words[1].ne(b"closing").then(|| Self::read(words)), true)
+    }
+
     pub fn words(&mut self) -> Vec<Vec<u8>> {
         let count: usize = self.line()[1..].parse().expect("a number of words");
         (0..count).map(|_| self.bulk()).collect()
