--- a/tests/installed/records.rs
+++ b/tests/installed/records.rs
@@ -87,7 +87,7 @@
     /// Does what there is to do; calls that come take so long.
     pub fn turn(&mut self, now: f64, takes_ms: f64) -> Vec<Seen> {
         let mut seen = self.left();
-        for call in self.in_hand.extract_if(.., |call| call.until <= now) {
+        for call in taken(&mut self.in_hand, |call| call.until <= now) {
             seen.push(Seen::Over(call.of));
             let (status, headers) = match self.trouble {
                 Some(Trouble::TurnsAway) => ("503 Service Unavailable", "Op-Not-Begun: 1\r\n"),
@@ -128,11 +128,18 @@
 
     /// The calls that were given up.
     fn left(&mut self) -> Vec<Seen> {
-        let gone = self.in_hand.extract_if(.., |call| waiting(&call.called.stream) == Waiting::Ended);
-        gone.map(|call| Seen::Over(call.of)).collect()
+        let gone = taken(&mut self.in_hand, |call| waiting(&call.called.stream) == Waiting::Ended);
+        gone.into_iter().map(|call| Seen::Over(call.of)).collect()
     }
 }
 
+/// Takes out what fits, in order.
+pub fn taken<T>(from: &mut Vec<T>, fits: impl Fn(&T) -> bool) -> Vec<T> {
+    let (taken, left) = std::mem::take(from).into_iter().partition(fits);
+    *from = left;
+    taken
+}
+
 #[derive(PartialEq)]
 enum Waiting {
     Nothing,
--- a/tests/installed/world.rs
+++ b/tests/installed/world.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use super::check::{Ask, Broken, Event, History, check};
-use super::records::{LOOKS, Records, Seen, TROUBLES, Trouble};
+use super::records::{LOOKS, Records, Seen, TROUBLES, Trouble, taken};
 use super::site::{CLASSES, GRACE_MS, KEYED, STOP_MS, Site, TENANTS};
 use crate::support::resp::{FrontEnd, array};
 use crate::support::{Node, PATIENCE, config, try_id};
@@ -168,7 +168,7 @@
 
     /// Does what is to be done by now.
     fn act(&mut self, at: f64) {
-        for (_, deed) in self.deeds.extract_if(.., |(when, _)| *when <= at).collect::<Vec<_>>() {
+        for (_, deed) in taken(&mut self.deeds, |(when, _)| *when <= at) {
             match deed {
                 Deed::Ask { class, key, further, front } => self.ask(at, class, key, further, front),
                 Deed::GiveUp(of, front, tag) => self.give_up(of, front, tag),
