Look a key up once, by its due time, before a full table turns it away

The joined order: due time, then whether the try is past hope, then the one look-up of its key, then the full table.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -403,21 +403,17 @@
         if key.as_ref().is_some_and(|key| self.kept.is_of_another(key, arrived, digest)) {
             return self.fail_taken(ask.of, reply);
         }
-        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived));
+        let told = ask.patience_ms.map(|patience_ms| arrived + patience_ms);
+        let due = told.unwrap_or(arrived + class.deadline_ms).min(self.stop_at);
+        // One that can only be refused carries no key: another try that is held under it goes on.
+        let hopeless = due <= now + HOPELESS_MS;
+        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
         // A key that is there takes no further room, and its run may be over: its repeats get the result.
         if key.is_some() && earlier.is_none() && self.kept.is_full() {
             let answer = Answer::Refused { stay_away_ms: settings.max_retry_after_ms, last: false };
             reply.send(answer, self.posture.level);
             return self.note(Oddity::TableFull, ask.of);
         }
-<<<<<<< HEAD
-        let told = ask.patience_ms.map(|patience_ms| arrived + patience_ms);
-        let due = told.unwrap_or(arrived + class.deadline_ms).min(self.stop_at);
-        // One that can only be refused carries no key: another try that is held under it goes on.
-        let hopeless = due <= now + HOPELESS_MS;
-        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
-=======
->>>>>>> b79681d (Serve the repeat of a run although the table of keys is full)
         if self.successor.is_some() && earlier.is_none() && key.as_ref().is_some_and(Key::is_operation) {
             // Guards against a second run: the next process may have begun one. A refusal would deny that.
             reply.send(Answer::Failed, self.posture.level);
