--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -28,9 +28,7 @@
     lives(Site::drawn(seed), seed);
 }
 
-/// On where the field `timeout` is read.
 #[rstest]
-#[ignore = "the field `timeout` is not read yet"]
 fn requests_that_tell_how_long_their_callers_wait_are_answered_by_then() {
     lives(Site { timeout: true, limit_ms: 4000.0, ..Site::reports() }, 102);
 }
