Add duties: sessions in the store, numbers, leases and who holds them

Some work may be done by one node at a time only. Nodes have one session each in the store, with their duties under it; holders count a lease from when they asked, the store from when it saw it in force, and receivers turn down a lower number than they have seen. Off without the table duties.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 //! operator's file.
 
 mod copies;
+mod duties;
 mod fault;
 mod operator;
 mod renew;
@@ -21,6 +22,7 @@
 use crate::validate::check;
 
 pub use copies::{CopiesTable, Late};
+pub use duties::{BeatTable, DutiesTable};
 pub use fault::Fault;
 pub use operator::{Ajp, FleetTable, Operator, Peer, StoreOptions};
 pub use routes::{KnowledgeTable, RecordsTable};
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -9,6 +9,7 @@
 
 use super::ConfigError;
 use super::copies::CopiesTable;
+use super::duties::DutiesTable;
 use super::fault::Fault;
 use super::routes::{KnowledgeTable, RecordsTable};
 use crate::fleet::view::MOST_NAME;
@@ -31,6 +32,8 @@
     pub fleet: Option<FleetTable>,
     /// What is copied to further nodes of the fleet; absent where each node's keys are its own.
     pub copies: Option<CopiesTable>,
+    /// The node's part in duties that one node does at a time; absent where it takes none.
+    pub duties: Option<DutiesTable>,
 }
 
 /// The node's part in a fleet of nodes that know each other.
@@ -213,6 +216,9 @@
         if let Some(copies) = &self.copies {
             copies.check(self.fleet.is_some(), &mut faults);
         }
+        if let Some(duties) = &self.duties {
+            duties.check(self.fleet.is_some(), &mut faults);
+        }
         faults
     }
 
@@ -231,6 +237,7 @@
             knowledge: read_alone::<KnowledgeAlone>(text, "knowledge", &mut faults).knowledge,
             fleet: read_alone::<FleetAlone>(text, "fleet", &mut faults).fleet,
             copies: read_alone::<CopiesAlone>(text, "copies", &mut faults).copies,
+            duties: read_alone::<DutiesAlone>(text, "duties", &mut faults).duties,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
         faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
@@ -245,7 +252,7 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 6] = ["ajp", "store", "records", "knowledge", "fleet", "copies"];
+const TABLES: [&str; 7] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -273,6 +280,11 @@
     copies: Option<CopiesTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct DutiesAlone {
+    duties: Option<DutiesTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct KnowledgeAlone {
     #[serde(default)]
--- a/src/copies/place.rs
+++ b/src/copies/place.rs
@@ -23,13 +23,14 @@
 }
 
 /// Mixes the bits of a number (splitmix64's finalizer, Steele, Lea, Flood 2014).
-fn mix(mut word: u64) -> u64 {
+pub(crate) fn mix(mut word: u64) -> u64 {
     word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     word ^ (word >> 31)
 }
 
-fn hash(name: &str) -> u64 {
+/// The first word of a name's digest.
+pub(crate) fn hash(name: &str) -> u64 {
     let mut first = [0; 8];
     blake3::Hasher::new().update(name.as_bytes()).finalize_xof().fill(&mut first);
     u64::from_le_bytes(first)
--- /dev/null
+++ b/src/duty/beat.rs
@@ -0,0 +1,151 @@
+//! A duty that announces itself: its holder says at an address, every so often, that it has the duty, under its number. One
+//! JSON line each way: `{"duty":"d","number":7,"sequence":3}` and `{"taken":true}`, or `{"taken":false,"seen":9}` from one
+//! that has seen a higher number.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use log::{debug, warn};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::hold::{Held, Registry};
+use super::{DutyName, Fence, Lost};
+use crate::config::BeatTable;
+
+/// Bytes of a line at the most.
+const MOST_LINE: u64 = 1024;
+/// How long a connection may take to open.
+const CONNECT: Duration = Duration::from_secs(2);
+/// Time until the address is tried again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What is said.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Under which number of which duty.
+    #[serde(flatten)]
+    pub fence: Fence,
+    /// Beats so far, over all holders where they hand the duty on in order.
+    pub sequence: u64,
+}
+
+/// What is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// Whether the beat was taken.
+    pub taken: bool,
+    /// The highest number that was seen, where it was not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seen: Option<u64>,
+}
+
+/// The duties of the operator's table, each with a task on this thread that does it.
+pub fn all(tables: &[BeatTable], from: IpAddr) -> Registry {
+    let mut registry = Registry::default();
+    for table in tables {
+        // The table was held to the same rule when it was read.
+        if let Ok(name) = DutyName::new(table.name.clone()) {
+            let beats = Beats { to: table.address, from, every: Duration::from_millis(table.every_ms) };
+            spawn_local(beats.run(registry.register(name)));
+        }
+    }
+    registry
+}
+
+/// Beats at an address whenever this node has the duty.
+pub struct Beats {
+    /// Where.
+    pub to: SocketAddr,
+    /// The address that it comes from.
+    pub from: IpAddr,
+    /// How often.
+    pub every: Duration,
+}
+
+impl Beats {
+    /// Does the duty each time that it is given.
+    pub async fn run(self, mut given: mpsc::Receiver<Held>) {
+        while let Some(held) = given.recv().await {
+            let mut sequence = read_state(held.state());
+            tokio::select! {
+                // One beat is never broken off to hand on: its answer is waited for, or it is done twice.
+                done = self.beat(&held, &mut sequence) => match done {
+                    Ok(()) => {
+                        let state = sequence.to_le_bytes().to_vec();
+                        if let Err(length) = held.hand_on(state).await {
+                            warn!("a state of {length} bytes is not handed on");
+                        }
+                    }
+                    Err(lost) => debug!("{lost}"),
+                },
+                lost = held.lost() => debug!("{lost}"),
+            }
+        }
+    }
+
+    /// Beats until the duty is to be handed on.
+    async fn beat(&self, held: &Held, sequence: &mut u64) -> Result<(), Lost> {
+        let mut line = None;
+        loop {
+            let beat = |fence: &Fence| Beat { fence: fence.clone(), sequence: *sequence + 1 };
+            let said = held.effect(async |fence| self.say(&mut line, &beat(fence)).await).await?;
+            match said {
+                Ok(Reply { taken: true, .. }) => {
+                    *sequence += 1;
+                    held.progress(*sequence);
+                }
+                Ok(Reply { seen, .. }) => {
+                    let Fence { duty, number } = held.fence();
+                    warn!("duties: {duty} is turned down under number {number}: {seen:?} was seen");
+                    return Err(Lost(held.fence().clone()));
+                }
+                Err(problem) => {
+                    debug!("{} is not reached: {problem}", self.to);
+                    line = None;
+                    sleep(AGAIN).await;
+                    continue;
+                }
+            }
+            tokio::select! {
+                () = held.to_hand_on() => return Ok(()),
+                () = sleep(self.every) => {}
+            }
+        }
+    }
+
+    async fn say(&self, line: &mut Option<BufReader<TcpStream>>, beat: &Beat) -> io::Result<Reply> {
+        let stream = match line {
+            Some(stream) => stream,
+            None => line.insert(BufReader::new(timeout(CONNECT, self.connect()).await??)),
+        };
+        let mut text = serde_json::to_vec(beat)?;
+        text.push(b'\n');
+        stream.write_all(&text).await?;
+        let mut answer = Vec::new();
+        stream.take(MOST_LINE).read_until(b'\n', &mut answer).await?;
+        if answer.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(serde_json::from_slice(&answer)?)
+    }
+
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let socket = if self.to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if self.from.is_ipv4() == self.to.is_ipv4() {
+            socket.bind(SocketAddr::new(self.from, 0))?;
+        }
+        let stream = socket.connect(self.to).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+fn read_state(state: &[u8]) -> u64 {
+    state.try_into().map_or(0, u64::from_le_bytes)
+}
--- /dev/null
+++ b/src/duty/own.rs
@@ -0,0 +1,107 @@
+//! What a node's session has, as the node itself knows it: under which numbers it may act and until when. Answers of the
+//! store may come late, twice and in any order.
+
+use std::collections::BTreeMap;
+
+use super::lease::good_until;
+use super::table::{Grant, Grants};
+use super::{DutyName, Fence};
+
+/// A session's duties at its node.
+#[derive(Clone, Debug, Default)]
+pub struct Own {
+    revision: u64,
+    until_ms: u64,
+    held: BTreeMap<DutyName, u64>,
+    /// The last number of each duty under which was acted here: no number is begun twice.
+    begun: BTreeMap<DutyName, u64>,
+}
+
+/// What an answer of the store changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turned {
+    /// These may be begun.
+    pub begun: Vec<Grant>,
+    /// These are over at once; the store waits for word of it.
+    pub over: Vec<Fence>,
+    /// These are to be handed on.
+    pub hand_on: Vec<DutyName>,
+    /// The store counts these as held, and nobody here acts under them any more: the word of it was lost.
+    pub left: Vec<Fence>,
+}
+
+impl Own {
+    /// Until when it may act, on the clock of [`super::lease::now_ms`]; 0 where it may not.
+    pub fn until_ms(&self) -> u64 {
+        self.until_ms
+    }
+
+    /// Whether it may act under a number now: its lease is good, and the duty was not taken.
+    pub fn may(&self, now_ms: u64, fence: &Fence) -> bool {
+        now_ms < self.until_ms && self.held.get(&fence.duty) == Some(&fence.number)
+    }
+
+    /// What it acts under.
+    pub fn held(&self) -> impl Iterator<Item = Fence> {
+        self.held.iter().map(|(duty, number)| Fence { duty: duty.clone(), number: *number })
+    }
+
+    /// The store has confirmed a renewal that was asked for then.
+    pub fn renewed(&mut self, asked_ms: u64, lease_ms: u64) {
+        self.until_ms = self.until_ms.max(good_until(asked_ms, lease_ms));
+    }
+
+    /// Turns to what the store says; what is older than what it said before counts for nothing.
+    pub fn turn_to(&mut self, grants: Grants) -> Turned {
+        let mut turned = Turned::default();
+        if grants.revision < self.revision {
+            return turned;
+        }
+        self.revision = grants.revision;
+        let listed: BTreeMap<&DutyName, u64> =
+            grants.grants.iter().map(|grant| (&grant.duty, grant.number)).collect();
+        self.held.retain(|duty, number| {
+            let stays = listed.get(duty) == Some(number);
+            if !stays {
+                turned.over.push(Fence { duty: duty.clone(), number: *number });
+            }
+            stays
+        });
+        for grant in grants.grants {
+            let begun = self.begun.get(&grant.duty).copied().unwrap_or(0);
+            if self.held.contains_key(&grant.duty) {
+                if grant.hand_on {
+                    turned.hand_on.push(grant.duty);
+                }
+            } else if grant.number > begun {
+                self.begun.insert(grant.duty.clone(), grant.number);
+                self.held.insert(grant.duty.clone(), grant.number);
+                if grant.hand_on {
+                    turned.hand_on.push(grant.duty.clone());
+                }
+                turned.begun.push(grant);
+            } else {
+                turned.left.push(Fence { duty: grant.duty, number: grant.number });
+            }
+        }
+        turned
+    }
+
+    /// Nobody acts under this number any more. Says whether somebody did.
+    pub fn stop(&mut self, fence: &Fence) -> bool {
+        let did = self.held.get(&fence.duty) == Some(&fence.number);
+        if did {
+            self.held.remove(&fence.duty);
+        }
+        did
+    }
+
+    /// The session is over: nothing of it counts any more.
+    pub fn end(&mut self) -> Vec<Fence> {
+        self.until_ms = 0;
+        self.revision = 0;
+        let over = self.held().collect();
+        self.held.clear();
+        over
+    }
+}
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -24,6 +24,7 @@
 
 use crate::config::FleetTable;
 use crate::copies;
+use crate::duty::hold::Ends;
 use crate::frame::{receive_within, send};
 
 use super::copying::{Copying, Datagram, Part, Target, Woken};
@@ -92,6 +93,8 @@
     pub table: FleetTable,
     /// Its copies, where it has any.
     pub copies: Option<Part>,
+    /// Its part in the duties, where it has one.
+    pub duties: Option<Ends>,
     /// Whether this process is the node's only one: until it is, it follows the fleet and does not belong.
     pub alone: watch::Receiver<bool>,
 }
@@ -115,7 +118,7 @@
 }
 
 async fn serve(options: Options, shown: watch::Sender<View>) -> Result<(), FleetError> {
-    let Options { name, table, copies, mut alone } = options;
+    let Options { name, table, copies, duties, mut alone } = options;
     let number = Rc::new(Cell::new(0));
     let (heard, hears) = mpsc::channel(4);
     let (asked, questions) = mpsc::channel(CONNECTIONS);
@@ -143,6 +146,7 @@
     let began = Instant::now();
     let mut daemon = Daemon {
         copying: copies.map(|part| Copying::new(part, store.clone(), rng().random())),
+        duties,
         keeps,
         leaving: None,
         name,
@@ -383,6 +387,7 @@
     bytes_sent: u64,
     asked_peers: Option<Instant>,
     copying: Option<Copying>,
+    duties: Option<Ends>,
     keeps: watch::Sender<Kept>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
@@ -591,6 +596,12 @@
                     self.send_copies(socket, out).await;
                 }
             }
+            // The next renewal would tell it as well.
+            Ok(Packet::Duties) if self.is_neighbour(from) => {
+                if let Some(duties) = &self.duties {
+                    duties.bell.notify_one();
+                }
+            }
             Ok(Packet::Whole { number, from: node }) if self.is_neighbour(from) => {
                 let now = self.now();
                 if let Some(copying) = &mut self.copying {
@@ -735,6 +746,7 @@
             passed_over: self.passed_over,
             bytes_sent: self.bytes_sent,
             nodes: self.view.nodes().map(line).collect(),
+            duties: self.duties.as_ref().map(|duties| duties.shown.borrow().clone()),
         }
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -72,6 +72,8 @@
         /// Who would answer.
         from: u64,
     },
+    /// The duties of the node have changed.
+    Duties,
 }
 
 /// Why a datagram is passed over.
@@ -206,6 +208,9 @@
     pub bytes_sent: u64,
     /// All who belong.
     pub nodes: Vec<Line>,
+    /// Its part in the duties, where it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<crate::duty::hold::Report>,
 }
 
 /// Why a node cannot be asked.
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,9 +18,11 @@
 use crate::config::{Config, ConfigError, CopiesTable, Peers, RecordsTable};
 use crate::copies::News;
 use crate::copies::slots::Terms;
+use crate::duty::{beat, hold};
 use crate::exchange::{self, Copying, Handle, Input};
 use crate::fleet;
 use crate::fleet::copying::Part;
+use crate::fleet::view::View;
 use crate::front::{self, Shared, ajp, resp};
 use crate::handover::{self, Successor};
 use crate::inherit;
@@ -86,13 +88,22 @@
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), turning));
     let (alone, turn) = succeed(&config, &handle).await;
     let (on_its_own, is_alone) = watch::channel(false);
+    let mut duties = None;
     if let Some(table) = config.operator.fleet.clone() {
         let part = copies.part.take();
-        let options =
-            fleet::daemon::Options { name: config.name.clone(), table, copies: part, alone: is_alone };
-        if let Err(problem) = fleet::daemon::start(options) {
-            error!("this node has no part in the fleet: {problem}");
+        let (keeper, ends) = config.operator.duties.as_ref().map(|_| hold::part()).unzip();
+        let options = fleet::daemon::Options {
+            name: config.name.clone(),
+            table,
+            copies: part,
+            duties: ends.clone(),
+            alone: is_alone.clone(),
+        };
+        match fleet::daemon::start(options) {
+            Ok(view) => begin_duties(&config, keeper, view, is_alone),
+            Err(problem) => error!("this node has no part in the fleet: {problem}"),
         }
+        duties = ends;
     }
     if let Some(admin) = config.admin {
         admit_operators(&config, admin, handle.clone()).await?;
@@ -123,14 +134,45 @@
         _ = interrupt.recv() => {}
     }
     let left = copies.leave(config.stop);
+    let duties = duties.map(|duties| spawn_local(duties.leave(config.stop.saturating_sub(HAND_ON_MARGIN))));
     match successor.take() {
         Some(next) => hand_over(config.stop, handle, closing, fronts, reports, next).await,
         None => drain(config.stop, handle, closing, fronts).await,
     }
     left.await;
+    if let Some(duties) = duties {
+        let _ = duties.await;
+    }
     Ok(())
 }
 
+/// Begins the node's part in the duties, where the operator's file has one.
+fn begin_duties(
+    config: &Config,
+    part: Option<hold::Part>,
+    view: watch::Receiver<View>,
+    alone: watch::Receiver<bool>,
+) {
+    let (Some(part), Some(table), Some(fleet)) =
+        (part, config.operator.duties.clone(), config.operator.fleet.clone())
+    else {
+        return;
+    };
+    let options = hold::Options {
+        name: config.name.clone(),
+        lease_ms: table.lease_ms,
+        still_most: table.still,
+        weight: table.weight,
+        cold_ms: table.cold_ms,
+        members: fleet.store,
+        from: fleet.listen.ip(),
+    };
+    let beats = move || beat::all(&table.beats, fleet.listen.ip());
+    if let Err(problem) = hold::start(options, part, view, alone, beats) {
+        error!("this node takes no duties: {problem}");
+    }
+}
+
 /// The ends of the channels between the core, its copies and the operator's file.
 struct Copies {
     core: Option<(Copying, mpsc::UnboundedReceiver<(u32, News)>)>,
--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -109,6 +109,8 @@
                 return Ok(end);
             }
             let member = self.run().await?;
+            tasks.spawn(steward::watch_duties(member.clone()));
+            tasks.spawn(steward::tell_holders(member.clone()));
             if !self.is_alone() {
                 tasks.spawn(steward::keep(member.clone()));
                 tasks.spawn(steward::give_way(member.clone()));
--- a/src/store/map.rs
+++ b/src/store/map.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::duty::table as duty;
 use crate::fleet::view as fleet;
 
 use super::decide::members::Place;
@@ -69,6 +70,8 @@
     Roster(u64, Roster),
     /// Changes which nodes belong to the fleet.
     Fleet(fleet::Change),
+    /// Changes sessions and duties.
+    Duty(duty::Deed),
 }
 
 /// Deeds over which the outcome of one is remembered. A try that comes later is not made.
@@ -84,6 +87,8 @@
     /// Deeds so far; each change is at the version of its turn.
     turn: u64,
     fleet: fleet::View,
+    #[serde(default)]
+    duties: duty::Table,
     roster: BTreeMap<u64, Roster>,
     outcomes: BTreeMap<u64, Outcome>,
     tags: VecDeque<(u64, u64)>,
@@ -131,6 +136,11 @@
         &self.fleet
     }
 
+    /// Sessions of nodes, and duties.
+    pub fn duties(&self) -> &duty::Table {
+        &self.duties
+    }
+
     /// What a number stands for.
     pub fn roster(&self, number: u64) -> Roster {
         self.roster.get(&number).copied().unwrap_or(Roster::Usual)
@@ -191,8 +201,17 @@
                 let before = self.fleet.number();
                 let fleet = self.fleet.change(change);
                 let changed = self.fleet.number() != before;
+                if changed {
+                    let Self { fleet, duties, .. } = self;
+                    duties.settle(&|node, incarnation| fleet.has(node, incarnation));
+                }
                 Outcome { changed, fleet: Some(fleet), ..Outcome::default() }
             }
+            Deed::Duty(deed) => {
+                let Self { fleet, duties, .. } = self;
+                let done = duties.apply(deed, &|node, incarnation| fleet.has(node, incarnation));
+                Outcome { changed: done.is_ok(), duty: Some(done), ..Outcome::default() }
+            }
             Deed::Roster(number, Roster::Usual) => {
                 Outcome { changed: self.roster.remove(&number).is_some(), ..Outcome::default() }
             }
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -14,6 +14,7 @@
 
 use crate::config::StoreOptions;
 
+use crate::duty::table as duty;
 use crate::fleet::view as fleet;
 
 use super::decide::members::{Limits, Place};
@@ -169,6 +170,24 @@
         }
     }
 
+    /// What a session has, and how all duties stand.
+    fn duties(&self, session: u64) -> Answer {
+        let contents = self.contents.borrow();
+        let duties = contents.duties();
+        Answer::Duties { grants: duties.grants(session), standing: duties.standing() }
+    }
+
+    /// Changes sessions and duties. What the session has is told as of a revision that is no older than the change.
+    async fn change_duties(&self, deed: &duty::Deed, ticket: Ticket) -> Tried {
+        match self.write(Deed::Duty(deed.clone()), ticket).await {
+            Tried::Answered(Answer::Changed(Outcome { duty: Some(done), .. })) => {
+                let grants = deed.session().and_then(|id| self.contents.borrow().duties().grants(id));
+                Tried::Answered(Answer::Duty(done.map(|()| grants)))
+            }
+            other => other,
+        }
+    }
+
     /// What one that follows the fleet's view lacks, as this member has it.
     fn view_since(&self, since: u64) -> Answer {
         let contents = self.contents.borrow();
@@ -214,8 +233,10 @@
             sleep(TRY_WAIT).await;
         }
         let trouble = self.trouble();
-        let changes =
-            !matches!(query, Query::Read { .. } | Query::Backup | Query::Members | Query::View { .. });
+        let changes = !matches!(
+            query,
+            Query::Read { .. } | Query::Backup | Query::Members | Query::View { .. } | Query::Duties { .. }
+        );
         match unsure {
             Some(why) if changes => Answer::Unsure(trouble.unwrap_or(why)),
             _ => Answer::NotDone(trouble.unwrap_or_else(|| match asked {
@@ -275,6 +296,8 @@
             },
             Query::Fleet(change) => self.change_fleet(change.clone(), ticket).await,
             Query::View { since } => Tried::Answered(self.view_since(*since)),
+            Query::Duty(deed) => self.change_duties(deed, ticket).await,
+            Query::Duties { session } => Tried::Answered(self.duties(*session)),
             Query::Members => Tried::Answered(Answer::Members(self.view())),
             Query::Admit { member, place } => Tried::Answered(self.admit(*member, place.clone()).await),
             Query::Wish(wish) => Tried::Answered(self.fulfil(wish.clone()).await),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -32,6 +32,7 @@
 use tokio::sync::watch;
 
 use crate::config::StoreOptions;
+use crate::duty::table as duty;
 use crate::fleet::view as fleet;
 use decide::members::Place;
 use enter::{End, Session};
@@ -75,6 +76,9 @@
     /// What came of a change of the fleet's view: the life of the node that came or went.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fleet: Option<Result<u64, fleet::Refused>>,
+    /// What came of a change of sessions and duties.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duty: Option<Result<(), duty::Refused>>,
 }
 
 /// Why a change is not made, whatever version its key is at.
@@ -111,6 +115,13 @@
         /// The number of the view that it has.
         since: u64,
     },
+    /// Change sessions and duties: of a session that it is about, what it has then.
+    Duty(duty::Deed),
+    /// What a session has, and how all duties stand, as the member that leads has it.
+    Duties {
+        /// The session.
+        session: u64,
+    },
     /// A blank member asks to be taken in.
     Admit {
         /// Its word.
@@ -181,6 +192,15 @@
         /// How long to wait before the next question, so that all who follow can ask, in ms.
         again_ms: u64,
     },
+    /// To a change of sessions and duties: what the session has, none where the change is about no session.
+    Duty(Result<Option<duty::Grants>, duty::Refused>),
+    /// To a question for a session's duties.
+    Duties {
+        /// What it has; none where this member knows no such session.
+        grants: Option<duty::Grants>,
+        /// How all duties stand.
+        standing: duty::Standing,
+    },
     /// A blank member is taken in by this cluster.
     Admitted(u64),
     /// What was wished is done.
--- a/src/store/steward.rs
+++ b/src/store/steward.rs
@@ -4,11 +4,16 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use openraft::ChangeMembers;
 use tokio::time::{sleep, timeout};
 
+use crate::duty::lease::{Watch, now_ms};
+use crate::duty::table as duty;
+use crate::fleet::wire::Packet;
+
 use super::decide::members::{Place, Seen, Sight, Step};
+use super::inquire;
 use super::map::{Deed, Roster};
 use super::member::Member;
 use super::wire::{self, About, GREETING, Message};
@@ -16,6 +21,8 @@
 
 /// Time between two looks at the members.
 const LOOK: Duration = Duration::from_millis(200);
+/// The same at sessions and duties.
+const LOOK_AT_DUTIES: Duration = Duration::from_millis(50);
 /// Looks over which a change of members stands half made before it counts as broken off.
 const BROKEN_OFF: u32 = 25;
 /// A member that leads is unheard when no majority has answered for so long, in ms; and how long it is silent then: longer than an election takes.
@@ -245,3 +252,77 @@
         }
     }
 }
+
+/// Ends what time ends of sessions and duties, while this member leads. One that begins to lead begins to count anew.
+pub(super) async fn watch_duties(member: Member) {
+    let mut led = None;
+    let mut watch = Watch::default();
+    loop {
+        sleep(LOOK_AT_DUTIES).await;
+        let metrics = member.metrics();
+        let leads = (metrics.current_leader == Some(member.own)).then_some(metrics.current_term);
+        if leads != led {
+            led = leads;
+            watch = Watch::default();
+        }
+        if led.is_none() {
+            continue;
+        }
+        let deeds = {
+            // The table first, and then the clock: what is seen was in force by then.
+            let contents = member.contents.borrow();
+            watch.look(now_ms(), contents.duties())
+        };
+        // What is not written is seen again at the next look.
+        for deed in deeds {
+            say(&member, &deed);
+            if let Err(problem) = member.log(Deed::Duty(deed)).await {
+                warn!("what time has ended of the duties is not written: {problem}");
+                break;
+            }
+        }
+    }
+}
+
+/// A change that time makes is one line of the log.
+fn say(member: &Member, deed: &duty::Deed) {
+    let contents = member.contents.borrow();
+    let table = contents.duties();
+    match deed {
+        duty::Deed::Expire { session, .. } => {
+            let held = table.grants(*session).map_or(0, |grants| grants.grants.len());
+            let node = table.session(*session).map_or("-", |session| session.node.as_str());
+            warn!("duties: session {session:016x} of {node} is over, with {held} duties");
+        }
+        duty::Deed::Ended { duty, number } => {
+            warn!("duties: {duty} is free: the lease of its holder under {number} is over");
+        }
+        duty::Deed::Return { duty, number } => info!("duties: {duty} is tried again after {number}"),
+        _ => {}
+    }
+}
+
+/// Rings at each node whose duties have changed, while this member leads. A ring that is lost is made up for by the node's
+/// next renewal.
+pub(super) async fn tell_holders(member: Member) {
+    let mut contents = member.contents.clone();
+    let mut told = contents.borrow().duties().revision();
+    let Some(bytes) = Packet::Duties.to_bytes() else { return };
+    while contents.changed().await.is_ok() {
+        let (revision, addresses) = {
+            let contents = contents.borrow_and_update();
+            let (table, fleet) = (contents.duties(), contents.fleet());
+            let news = table.sessions().filter(|(_, session)| session.changed > told);
+            let at = |node: &str| fleet.get(node).map(|node| node.applicant.address);
+            let addresses: Vec<_> = news.filter_map(|(_, session)| at(&session.node)).collect();
+            (table.revision(), addresses)
+        };
+        told = revision;
+        if addresses.is_empty() || !member.leads() {
+            continue;
+        }
+        if let Err(problem) = inquire::ring(member.from, &bytes, &addresses).await {
+            debug!("nodes are not told of their duties: {problem}");
+        }
+    }
+}
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -55,6 +55,7 @@
             key.len() + value.as_ref().map_or(0, String::len)
         }
         super::map::Deed::Roster(..) | super::map::Deed::Fleet(_) => 0,
+        super::map::Deed::Duty(deed) => deed.size(),
     }
 }
 
