--- a/src/duty/beat.rs
+++ b/src/duty/beat.rs
@@ -1,5 +1,5 @@
 //! A duty that announces itself: its holder says at an address, every so often, that it has the duty, under its number. One
-//! JSON line each way: `{"duty":"d","number":7,"sequence":3}` and `{"taken":true}`, or `{"taken":false,"seen":9}` from one
+//! JSON line each way: `{"duty":"d","number":7,"by":"n1/4242","sequence":3}` and `{"taken":true}`, or `{"taken":false,"seen":9}` from one
 //! that has seen a higher number.
 
 use std::io;
@@ -31,6 +31,8 @@
     /// Under which number of which duty.
     #[serde(flatten)]
     pub fence: Fence,
+    /// Who says so: the node and its process.
+    pub by: String,
     /// Beats so far, over all holders where they hand the duty on in order.
     pub sequence: u64,
 }
@@ -46,12 +48,14 @@
 }
 
 /// The duties of the operator's table, each with a task on this thread that does it.
-pub fn all(tables: &[BeatTable], from: IpAddr) -> Registry {
+pub fn all(tables: &[BeatTable], name: &str, from: IpAddr) -> Registry {
     let mut registry = Registry::default();
     for table in tables {
         // The table was held to the same rule when it was read.
         if let Ok(name) = DutyName::new(table.name.clone()) {
-            let beats = Beats { to: table.address, from, every: Duration::from_millis(table.every_ms) };
+            let by = format!("{name}/{}", std::process::id());
+            let every = Duration::from_millis(table.every_ms);
+            let beats = Beats { to: table.address, from, by, every };
             spawn_local(beats.run(registry.register(name)));
         }
     }
@@ -64,6 +68,8 @@
     pub to: SocketAddr,
     /// The address that it comes from.
     pub from: IpAddr,
+    /// As whom.
+    pub by: String,
     /// How often.
     pub every: Duration,
 }
@@ -93,7 +99,8 @@
     async fn beat(&self, held: &Held, sequence: &mut u64) -> Result<(), Lost> {
         let mut line = None;
         loop {
-            let beat = |fence: &Fence| Beat { fence: fence.clone(), sequence: *sequence + 1 };
+            let beat =
+                |fence: &Fence| Beat { fence: fence.clone(), by: self.by.clone(), sequence: *sequence + 1 };
             let said = held.effect(async |fence| self.say(&mut line, &beat(fence)).await).await?;
             match said {
                 Ok(Reply { taken: true, .. }) => {
--- a/src/duty/hold.rs
+++ b/src/duty/hold.rs
@@ -414,7 +414,7 @@
             Ok(Ok(Some(grants))) => {
                 info!("duties: session {session:016x} begins, with a lease of {lease_ms} ms");
                 self.session = Some((session, incarnation));
-                self.own = Own::default();
+                self.own.begin(session);
                 self.confirmed(asked, grants).await;
                 true
             }
@@ -463,9 +463,10 @@
 
     /// The store has confirmed what was asked then. What was taken is over before the lease goes on.
     async fn confirmed(&mut self, asked_ms: u64, grants: Grants) {
+        let session = grants.session;
         let turned = self.own.turn_to(grants);
         self.take(&turned);
-        self.own.renewed(asked_ms, self.options.lease_ms);
+        self.own.renewed(session, asked_ms, self.options.lease_ms);
         self.until_ms.store(self.own.until_ms(), SeqCst);
         self.turn(turned).await;
     }
--- a/src/duty/lease.rs
+++ b/src/duty/lease.rs
@@ -83,13 +83,13 @@
         self.duties.retain(|name, _| table.duty(name).is_some_and(|duty| duty.state.ends_by_time()));
         let mut deeds = Vec::new();
         for (id, session) in table.sessions() {
-            let mark = session.renewals;
+            let mark = session.renewed;
             let entry = self.sessions.entry(id).or_insert(Since { mark, at_ms: now_ms });
             let stood = Since::stood(entry, mark, now_ms);
             if stood > in_force_ms(session.lease_ms) {
-                deeds.push(Deed::Expire { session: id, renewals: mark });
+                deeds.push(Deed::Expire { session: id, renewed: mark });
             } else if stood > session.lease_ms * 2 / 3 && !session.late {
-                deeds.push(Deed::Late { session: id, renewals: mark });
+                deeds.push(Deed::Late { session: id, renewed: mark });
             }
         }
         for (name, duty) in table.duties().filter(|(_, duty)| duty.state.ends_by_time()) {
--- a/src/duty/own.rs
+++ b/src/duty/own.rs
@@ -10,6 +10,7 @@
 /// A session's duties at its node.
 #[derive(Clone, Debug, Default)]
 pub struct Own {
+    session: u64,
     revision: u64,
     until_ms: u64,
     held: BTreeMap<DutyName, u64>,
@@ -31,6 +32,12 @@
 }
 
 impl Own {
+    /// What a session has at its beginning. Numbers that a session before it of this process acted under stay used.
+    pub fn begin(&mut self, session: u64) {
+        self.end();
+        self.session = session;
+    }
+
     /// Until when it may act, on the clock of [`super::lease::now_ms`]; 0 where it may not.
     pub fn until_ms(&self) -> u64 {
         self.until_ms
@@ -47,14 +54,18 @@
     }
 
     /// The store has confirmed a renewal that was asked for then.
-    pub fn renewed(&mut self, asked_ms: u64, lease_ms: u64) {
+    pub fn renewed(&mut self, session: u64, asked_ms: u64, lease_ms: u64) {
+        if session != self.session {
+            return;
+        }
         self.until_ms = self.until_ms.max(good_until(asked_ms, lease_ms));
     }
 
-    /// Turns to what the store says; what is older than what it said before counts for nothing.
+    /// Turns to what the store says; what is older than what it said before, or is of another
+    /// session, counts for nothing.
     pub fn turn_to(&mut self, grants: Grants) -> Turned {
         let mut turned = Turned::default();
-        if grants.revision < self.revision {
+        if grants.session != self.session || grants.revision < self.revision {
             return turned;
         }
         self.revision = grants.revision;
@@ -98,8 +109,7 @@
 
     /// The session is over: nothing of it counts any more.
     pub fn end(&mut self) -> Vec<Fence> {
-        self.until_ms = 0;
-        self.revision = 0;
+        (self.session, self.until_ms, self.revision) = (0, 0, 0);
         let over = self.held().collect();
         self.held.clear();
         over
--- a/src/duty/table.rs
+++ b/src/duty/table.rs
@@ -51,8 +51,8 @@
     pub fit: Fit,
     /// Whether its renewal is awaited: it is given nothing more.
     pub late: bool,
-    /// Renewals so far.
-    pub renewals: u64,
+    /// The revision of its last renewal: no two renewals, of whatever sessions, have the same.
+    pub renewed: u64,
     /// The revision at which its duties changed last.
     pub changed: u64,
 }
@@ -185,14 +185,14 @@
         /// Which.
         session: u64,
         /// The renewal.
-        renewals: u64,
+        renewed: u64,
     },
     /// A session's renewal is awaited.
     Late {
         /// Which.
         session: u64,
         /// The renewal.
-        renewals: u64,
+        renewed: u64,
     },
     /// A duty was seen to be taken from its holder for longer than that one's lease.
     Ended {
@@ -272,6 +272,8 @@
 /// All that a session has.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grants {
+    /// Whose they are.
+    pub session: u64,
     /// Of which revision of the table; an older one than was seen counts for nothing.
     pub revision: u64,
     /// The duties; one that is being taken away is not among them.
@@ -341,7 +343,11 @@
             }),
             _ => None,
         };
-        Some(Grants { revision: self.revision, grants: self.duties.iter().filter_map(grant).collect() })
+        Some(Grants {
+            session,
+            revision: self.revision,
+            grants: self.duties.iter().filter_map(grant).collect(),
+        })
     }
 
     /// How all duties stand.
@@ -391,7 +397,7 @@
                     still_most,
                     fit,
                     late: false,
-                    renewals: 0,
+                    renewed: self.revision,
                     changed: self.revision,
                 };
                 self.open(session, new)
@@ -405,16 +411,16 @@
                 self.free_all(session, false);
                 Ok(true)
             }
-            Deed::Expire { session, renewals } => {
-                let stands = self.sessions.get(&session).is_some_and(|there| there.renewals == renewals);
+            Deed::Expire { session, renewed } => {
+                let stands = self.sessions.get(&session).is_some_and(|there| there.renewed == renewed);
                 if stands {
                     self.sessions.remove(&session);
                     self.free_all(session, true);
                 }
                 Ok(stands)
             }
-            Deed::Late { session, renewals } => {
-                let there = self.sessions.get_mut(&session).filter(|there| there.renewals == renewals);
+            Deed::Late { session, renewed } => {
+                let there = self.sessions.get_mut(&session).filter(|there| there.renewed == renewed);
                 Ok(there.is_some_and(|there| !std::mem::replace(&mut there.late, true)))
             }
             Deed::Ended { duty, number } => {
@@ -477,7 +483,7 @@
 
     fn renew(&mut self, id: u64, fit: Fit, work: &[Work]) -> Result<bool, Refused> {
         let session = self.sessions.get_mut(&id).ok_or(Refused::Ended(id))?;
-        session.renewals += 1;
+        session.renewed = self.revision;
         let mut moved = std::mem::replace(&mut session.late, false);
         // One that another process has followed stays so.
         if session.fit != Fit::Draining {
--- a/src/node.rs
+++ b/src/node.rs
@@ -167,7 +167,8 @@
         members: fleet.store,
         from: fleet.listen.ip(),
     };
-    let beats = move || beat::all(&table.beats, fleet.listen.ip());
+    let name = config.name.clone();
+    let beats = move || beat::all(&table.beats, &name, fleet.listen.ip());
     if let Err(problem) = hold::start(options, part, view, alone, beats) {
         error!("this node takes no duties: {problem}");
     }
--- /dev/null
+++ b/tests/duties.rs
@@ -0,0 +1,197 @@
+//! Duties with real processes: their holder is stopped, cut off, killed, drained and stuck.
+
+mod rig;
+mod support;
+
+use std::time::Duration;
+
+use rig::duties::judge;
+use rig::relay::Link;
+use rig::target::{LEASE_MS, Target, node_of};
+use rig::{PATIENCE, Rig, until};
+use rstest::rstest;
+
+const NODES: usize = 5;
+const TARGET: usize = NODES + 1;
+/// What the lease and a look, a write and a ring come to, with a machine that is busy.
+const FOLLOWED_MS: u64 = LEASE_MS + 1000;
+
+fn others(n: usize) -> Vec<usize> {
+    (1..=NODES).filter(|other| *other != n).collect()
+}
+
+fn holder(target: &Target) -> (usize, u64, String) {
+    let (_, beat) = target.last("announce").expect("it is acted under");
+    (node_of(&beat), beat.fence.number, beat.by)
+}
+
+fn nothing_is_broken(target: &Target, links_whole: bool) {
+    assert_eq!(judge(&target.seen(links_whole)), []);
+}
+
+/// Waits until several more effects of this number are taken.
+fn goes_on(target: &Target) {
+    let before = target.beats().len();
+    until("effects are taken", PATIENCE, || {
+        target.beats()[before..].iter().filter(|beat| beat.2).count() > 5
+    });
+}
+
+#[rstest]
+fn a_holder_that_is_stopped_in_the_middle_of_an_effect_past_its_lease() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, by) = holder(&target);
+    // Its effect is under way: the answer to it does not come.
+    target.mute(&by, true);
+    std::thread::sleep(Duration::from_millis(100));
+    rig.signal(n, "-STOP");
+    let stopped = target.now_ms();
+    let (at, next) = target.follows("announce", number);
+    assert!(node_of(&next) != n && at - stopped < FOLLOWED_MS, "{} ms", at - stopped);
+    target.mute(&by, false);
+    rig.signal(n, "-CONT");
+    rig.logged(n, "is lost under number");
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+    assert!(target.beats().iter().filter(|beat| beat.1.by == by).all(|beat| beat.0 <= stopped));
+}
+
+#[rstest]
+#[case::both_ways(true, true)]
+#[case::nothing_comes_from_the_store(false, true)]
+#[case::nothing_comes_to_the_store(true, false)]
+fn a_holder_that_is_cut_off_from_the_store_and_not_from_the_target(#[case] to: bool, #[case] from: bool) {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, by) = holder(&target);
+    for other in others(n) {
+        rig.relay.link(n, other, |link| link.cut |= to);
+        rig.relay.link(other, n, |link| link.cut |= from);
+    }
+    let cut = target.now_ms();
+    let (at, next) = target.follows("announce", number);
+    assert!(node_of(&next) != n, "{next:?}");
+    let last = target.beats().into_iter().rev().find(|beat| beat.1.by == by).expect("it acted").0;
+    assert!(last <= at && last <= cut + LEASE_MS + 100, "{last} after {cut}, followed at {at}");
+    rig.relay.heal();
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn a_holder_that_is_cut_off_from_the_target_and_not_from_the_store() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, _) = holder(&target);
+    let session = rig.seen(n).and_then(|seen| seen.duties).and_then(|duties| duties.session);
+    rig.relay.both(n, TARGET, |link| link.cut = true);
+    let (_, next) = target.follows("announce", number);
+    assert_ne!(node_of(&next), n);
+    let after = rig.seen(n).and_then(|seen| seen.duties).and_then(|duties| duties.session);
+    assert!(session.is_some() && session == after, "its session lives");
+    // What waited in the link comes now, and is turned down.
+    rig.relay.heal();
+    goes_on(&target);
+    nothing_is_broken(&target, false);
+}
+
+#[rstest]
+fn a_stuck_task_loses_its_duty_while_the_session_lives_and_a_restarted_target_remembers() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, by) = holder(&target);
+    let session = rig.seen(n).and_then(|seen| seen.duties).and_then(|duties| duties.session);
+    target.mute(&by, true);
+    let (_, next) = target.follows("announce", number);
+    assert_ne!(node_of(&next), n);
+    let after = rig.seen(n).and_then(|seen| seen.duties).and_then(|duties| duties.session);
+    assert!(session.is_some() && session == after, "its session lives");
+    target.restart();
+    target.mute(&by, false);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn holder_and_leader_of_the_store_are_lost_at_once() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, _) = holder(&target);
+    let leader = rig.led(&[1, 2, 3]);
+    rig.kill(n);
+    if n > 3 {
+        rig.kill(leader);
+    } else if n != leader {
+        // Both are members of the store: with a second one gone it had no majority.
+        rig.signal(leader, "-STOP");
+        std::thread::sleep(Duration::from_millis(LEASE_MS));
+        rig.again(n);
+        rig.signal(leader, "-CONT");
+    }
+    target.follows("announce", number);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn a_holder_that_drains_hands_on_in_order_and_no_effect_is_lost() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, by) = holder(&target);
+    rig.signal(n, "-TERM");
+    let (at, next) = target.follows("announce", number);
+    assert_ne!(node_of(&next), n);
+    let beats = target.beats();
+    let (last, before, _) = beats.iter().rev().find(|beat| beat.1.by == by).expect("it acted").clone();
+    // No lease is waited for, and the count goes on where it was.
+    assert!(at - last < LEASE_MS / 2, "{} ms", at - last);
+    assert_eq!(next.sequence, before.sequence + 1);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn links_that_lose_and_delay() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
+    for one in 1..=NODES {
+        for other in 1..=NODES {
+            rig.relay.link(one, other, |link| *link = Link { delay_ms: 60, lost: 0.2, ..*link });
+        }
+    }
+    std::thread::sleep(Duration::from_secs(6));
+    rig.relay.heal();
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn power_is_lost_for_all() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
+    let before = target.beats().iter().map(|beat| beat.1.fence.number).max().unwrap_or(0);
+    (1..=NODES).for_each(|n| rig.kill(n));
+    target.restart();
+    (1..=NODES).for_each(|n| rig.again(n));
+    for duty in ["announce", "count"] {
+        assert!(target.follows(duty, before).1.fence.number > before);
+    }
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn three_holders_die_and_the_duty_is_set_aside_for_a_while() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let mut number = 0;
+    for _ in 0..3 {
+        let (_, beat) = target.follows("announce", number);
+        number = beat.fence.number;
+        let n = node_of(&beat);
+        // It has begun as far as the store knows.
+        std::thread::sleep(Duration::from_millis(LEASE_MS / 2));
+        rig.kill(n);
+        rig.up(n);
+    }
+    let aside = |n: usize| {
+        let duties = rig.seen(n).and_then(|seen| seen.duties);
+        duties.is_some_and(|duties| !duties.standing.aside.is_empty())
+    };
+    until("it is shown to be set aside", PATIENCE, || (1..=NODES).any(aside));
+    target.follows("announce", number);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -4,11 +4,13 @@
 
 pub mod copied;
 pub mod copies;
+pub mod duties;
 pub mod fleet;
 pub mod history;
 pub mod relay;
 pub mod schedule;
 pub mod sim;
+pub mod target;
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- /dev/null
+++ b/tests/rig/target.rs
@@ -0,0 +1,170 @@
+//! A stand-in for who takes the effects of duties: it guards itself, and notes all that comes.
+
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use sillflow::duty::beat::{Beat, Reply};
+use sillflow::duty::{Guard, Stale};
+
+use super::duties::Seen;
+use super::{PATIENCE, Rig, until};
+
+/// The lease of nodes on the rig, in ms.
+pub const LEASE_MS: u64 = 1500;
+
+struct Inside {
+    guard: Guard,
+    beats: Vec<(u64, Beat, bool)>,
+    /// Those that get no answer.
+    muted: BTreeSet<String>,
+}
+
+/// The target, on threads of its own.
+#[derive(Clone)]
+pub struct Target {
+    inside: Arc<Mutex<Inside>>,
+    began: Instant,
+    path: PathBuf,
+}
+
+impl Target {
+    /// Listens there, and keeps its numbers in this file.
+    pub fn start(address: &str, path: &Path) -> Self {
+        let listener = TcpListener::bind(address).expect("an address");
+        let guard = Guard::open(path).expect("a guard");
+        let inside = Inside { guard, beats: Vec::new(), muted: BTreeSet::new() };
+        let inside = Arc::new(Mutex::new(inside));
+        let target = Self { inside, began: Instant::now(), path: path.to_owned() };
+        let served = target.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let served = served.clone();
+                std::thread::spawn(move || served.serve(stream));
+            }
+        });
+        target
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let lines = BufReader::new(stream.try_clone().expect("a socket")).lines();
+        for line in lines.map_while(Result::ok) {
+            let beat: Beat = serde_json::from_str(&line).expect("a beat");
+            let by = beat.by.clone();
+            let reply = {
+                let mut inside = self.inside.lock().expect("a lock");
+                let admitted = inside.guard.admit(&beat.fence);
+                inside.beats.push((self.now_ms(), beat, admitted.is_ok()));
+                let seen = match admitted {
+                    Err(Stale::Lower { seen, .. }) => Some(seen),
+                    _ => None,
+                };
+                Reply { taken: seen.is_none(), seen }
+            };
+            while self.inside.lock().expect("a lock").muted.contains(&by) {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            let reply = serde_json::to_string(&reply).expect("a reply") + "\n";
+            if stream.write_all(reply.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Starts it again, with what it kept.
+    pub fn restart(&self) {
+        self.inside.lock().expect("a lock").guard = Guard::open(&self.path).expect("it was kept");
+    }
+
+    /// Whoever this is gets no answer, or does again.
+    pub fn mute(&self, by: &str, mute: bool) {
+        let mut inside = self.inside.lock().expect("a lock");
+        if mute {
+            inside.muted.insert(by.to_owned());
+        } else {
+            inside.muted.remove(by);
+        }
+    }
+
+    /// All beats, with when they came and whether they were taken.
+    pub fn beats(&self) -> Vec<(u64, Beat, bool)> {
+        self.inside.lock().expect("a lock").beats.clone()
+    }
+
+    /// The last beat of a duty that was taken.
+    pub fn last(&self, duty: &str) -> Option<(u64, Beat)> {
+        let inside = self.inside.lock().expect("a lock");
+        let of =
+            inside.beats.iter().rev().find(|(_, beat, taken)| *taken && beat.fence.duty.as_str() == duty);
+        of.map(|(at, beat, _)| (*at, beat.clone()))
+    }
+
+    /// What was seen. Where links to the target were cut or late, when an effect came says nothing of when it was begun,
+    /// and one that turns nothing down has to be left out.
+    pub fn seen(&self, links_whole: bool) -> Vec<Seen> {
+        let number = |by: &str| by.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(257) + u64::from(byte));
+        let mut seen = Vec::new();
+        for (at_ms, Beat { fence, by, .. }, taken) in self.beats() {
+            let by = number(&by);
+            if links_whole || taken {
+                seen.push(Seen::Begun { at_ms, fence: fence.clone(), by });
+            }
+            seen.push(Seen::Came { at_ms, fence, by, taken });
+        }
+        seen
+    }
+
+    /// Waits until somebody acts under a higher number than this one, and says when its first effect was taken.
+    pub fn follows(&self, duty: &str, number: u64) -> (u64, Beat) {
+        until("somebody else acts", PATIENCE, || {
+            self.last(duty).is_some_and(|(_, beat)| beat.fence.number > number)
+        });
+        let beats = self.beats().into_iter();
+        let mut later = beats.filter(|(_, beat, taken)| {
+            *taken && beat.fence.duty.as_str() == duty && beat.fence.number > number
+        });
+        later.next().map(|(at, beat, _)| (at, beat)).expect("a beat")
+    }
+}
+
+/// The process that beats.
+pub fn node_of(beat: &Beat) -> usize {
+    let name = beat.by.split('/').next().unwrap_or_default();
+    name[1..].parse().expect("a number")
+}
+
+impl Rig {
+    /// A fleet of so many whose duties beat at a target, which has the number after theirs. It is returned when each duty
+    /// was acted under.
+    pub fn dutiful(count: usize, duties: &[&str]) -> (Self, Target) {
+        let mut rig = Self::new(count + 1);
+        let target = Target::start(&rig.address(count + 1), &rig.dir.join("guard"));
+        let address = rig.relayed(count + 1);
+        let mut table = format!("[duties]\nlease_ms = {LEASE_MS}\nstill = 8\ncold_ms = 0\n");
+        for duty in duties {
+            table += &format!("[[duties.beats]]\nname = {duty:?}\naddress = {address:?}\nevery_ms = 20\n");
+        }
+        for n in 1..=count {
+            let file = rig.fleet_table(n, n % 3) + &table;
+            rig.start_with(n, &file, "");
+        }
+        until("each duty is acted under", PATIENCE * 2, || {
+            duties.iter().all(|duty| target.last(duty).is_some())
+        });
+        let all: Vec<usize> = (1..=count).collect();
+        until("all have a session", PATIENCE * 2, || {
+            all.iter().all(|n| {
+                let duties = rig.seen(*n).and_then(|seen| seen.duties);
+                duties.is_some_and(|duties| duties.session.is_some())
+            })
+        });
+        (rig, target)
+    }
+}
