--- a/src/duty/beat.rs
+++ b/src/duty/beat.rs
@@ -52,11 +52,11 @@
     let mut registry = Registry::default();
     for table in tables {
         // The table was held to the same rule when it was read.
-        if let Ok(name) = DutyName::new(table.name.clone()) {
+        if let Ok(duty) = DutyName::new(table.name.clone()) {
             let by = format!("{name}/{}", std::process::id());
             let every = Duration::from_millis(table.every_ms);
             let beats = Beats { to: table.address, from, by, every };
-            spawn_local(beats.run(registry.register(name)));
+            spawn_local(beats.run(registry.register(duty)));
         }
     }
     registry
