--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies
+.PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-duties
 
 build:
 	cargo build --release --locked
@@ -35,3 +35,8 @@
 measure-copies:
 	cargo bench --locked --bench copies
 	cargo test --locked --test copies_model -- --ignored --nocapture
+
+# What duties keep under faults and what they cost, in simulated time and with real processes. PART=histories, cost or
+# processes measures one part; SMALL=1 less, COUNT=N so many histories, ROUNDS=N so many holders lost.
+measure-duties:
+	cargo bench --locked --bench duties
--- a/src/duty/hold.rs
+++ b/src/duty/hold.rs
@@ -463,6 +463,7 @@
 
     /// The store has confirmed what was asked then. What was taken is over before the lease goes on.
     async fn confirmed(&mut self, asked_ms: u64, grants: Grants) {
+        self.stands(&grants);
         let session = grants.session;
         let turned = self.own.turn_to(grants);
         self.take(&turned);
@@ -474,16 +475,18 @@
     /// Looks at what the store says of the duties, without a renewal.
     async fn look(&mut self) {
         let Some((session, _)) = self.session else { return };
-        if let Ok(Answer::Duties { grants: Some(grants), standing }) =
-            self.ask(Query::Duties { session }).await
-        {
-            self.part.shown.send_modify(|shown| shown.standing = standing);
+        if let Ok(Answer::Duties(Some(grants))) = self.ask(Query::Duties { session }).await {
+            self.stands(&grants);
             let turned = self.own.turn_to(grants);
             self.take(&turned);
             self.turn(turned).await;
         }
     }
 
+    fn stands(&self, grants: &Grants) {
+        self.part.shown.send_modify(|shown| shown.standing = grants.standing.clone());
+    }
+
     fn take(&mut self, turned: &Turned) {
         for fence in &turned.over {
             if let Some((_, right)) = self.rights.remove(&fence.duty) {
--- a/src/duty/table.rs
+++ b/src/duty/table.rs
@@ -278,6 +278,8 @@
     pub revision: u64,
     /// The duties; one that is being taken away is not among them.
     pub grants: Vec<Grant>,
+    /// How all duties stand.
+    pub standing: Standing,
 }
 
 /// How all duties stand, for people.
@@ -343,11 +345,8 @@
             }),
             _ => None,
         };
-        Some(Grants {
-            session,
-            revision: self.revision,
-            grants: self.duties.iter().filter_map(grant).collect(),
-        })
+        let grants = self.duties.iter().filter_map(grant).collect();
+        Some(Grants { session, revision: self.revision, grants, standing: self.standing() })
     }
 
     /// How all duties stand.
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -170,13 +170,6 @@
         }
     }
 
-    /// What a session has, and how all duties stand.
-    fn duties(&self, session: u64) -> Answer {
-        let contents = self.contents.borrow();
-        let duties = contents.duties();
-        Answer::Duties { grants: duties.grants(session), standing: duties.standing() }
-    }
-
     /// Changes sessions and duties. What the session has is told as of a revision that is no older than the change.
     async fn change_duties(&self, deed: &duty::Deed, ticket: Ticket) -> Tried {
         match self.write(Deed::Duty(deed.clone()), ticket).await {
@@ -297,7 +290,9 @@
             Query::Fleet(change) => self.change_fleet(change.clone(), ticket).await,
             Query::View { since } => Tried::Answered(self.view_since(*since)),
             Query::Duty(deed) => self.change_duties(deed, ticket).await,
-            Query::Duties { session } => Tried::Answered(self.duties(*session)),
+            Query::Duties { session } => {
+                Tried::Answered(Answer::Duties(self.contents.borrow().duties().grants(*session)))
+            }
             Query::Members => Tried::Answered(Answer::Members(self.view())),
             Query::Admit { member, place } => Tried::Answered(self.admit(*member, place.clone()).await),
             Query::Wish(wish) => Tried::Answered(self.fulfil(wish.clone()).await),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -117,7 +117,7 @@
     },
     /// Change sessions and duties: of a session that it is about, what it has then.
     Duty(duty::Deed),
-    /// What a session has, and how all duties stand, as the member that leads has it.
+    /// What a session has, as the member that leads has it.
     Duties {
         /// The session.
         session: u64,
@@ -194,13 +194,8 @@
     },
     /// To a change of sessions and duties: what the session has, none where the change is about no session.
     Duty(Result<Option<duty::Grants>, duty::Refused>),
-    /// To a question for a session's duties.
-    Duties {
-        /// What it has; none where this member knows no such session.
-        grants: Option<duty::Grants>,
-        /// How all duties stand.
-        standing: duty::Standing,
-    },
+    /// To a question for a session's duties; none where this member knows no such session.
+    Duties(Option<duty::Grants>),
     /// A blank member is taken in by this cluster.
     Admitted(u64),
     /// What was wished is done.
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -172,3 +172,26 @@
     goes_on(&target);
     nothing_is_broken(&target, true);
 }
+
+#[rstest]
+fn three_holders_die_and_the_duty_is_set_aside_for_a_while() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let mut number = 0;
+    for _ in 0..3 {
+        let (_, beat) = target.follows("announce", number);
+        number = beat.fence.number;
+        let n = node_of(&beat);
+        // It has begun as far as the store knows.
+        std::thread::sleep(Duration::from_millis(LEASE_MS / 2));
+        rig.kill(n);
+        rig.again(n);
+    }
+    let aside = |n: usize| {
+        let duties = rig.seen(n).and_then(|seen| seen.duties);
+        duties.is_some_and(|duties| !duties.standing.aside.is_empty())
+    };
+    until("it is shown to be set aside", PATIENCE, || (1..=NODES).any(aside));
+    target.follows("announce", number);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
--- a/tests/duties_rules.rs
+++ b/tests/duties_rules.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use sillflow::duty::lease::{self, Watch};
 use sillflow::duty::own::Own;
-use sillflow::duty::table::{Deed, Fit, Grant, Grants, Refused, State, Table, Work};
+use sillflow::duty::table::{Deed, Fit, Grant, Grants, Refused, Standing, State, Table, Work};
 use sillflow::duty::{DutyName, Fence, Guard, Stale};
 
 const LEASE: u64 = 1000;
@@ -142,7 +142,12 @@
     let grants = |revision, numbers: &[u64]| {
         let grant =
             |number: &u64| Grant { duty: name(0), number: *number, hand_on: false, state: Vec::new() };
-        Grants { session: 1, revision, grants: numbers.iter().map(grant).collect() }
+        Grants {
+            session: 1,
+            revision,
+            grants: numbers.iter().map(grant).collect(),
+            standing: Standing::default(),
+        }
     };
     assert_eq!(own.turn_to(grants(5, &[7])).begun.len(), 1);
     assert!(!own.may(0, &fence(7)), "there is no lease yet");
--- a/tests/rig/duties.rs
+++ b/tests/rig/duties.rs
@@ -345,6 +345,20 @@
         self.nodes.iter().position(|node| node.session == by)
     }
 
+    /// How many duties each session has.
+    pub fn loads(&self) -> BTreeMap<u64, usize> {
+        let mut loads = BTreeMap::new();
+        for by in self.table.duties().filter_map(|(_, duty)| duty.state.holder()) {
+            *loads.entry(by).or_insert(0) += 1;
+        }
+        loads
+    }
+
+    /// Who holds which duty.
+    pub fn holders(&self) -> BTreeMap<DutyName, Option<usize>> {
+        self.duties.iter().map(|duty| (duty.clone(), self.holder(duty))).collect()
+    }
+
     fn commit(&mut self, mut deed: Deed) -> Result<(), Refused> {
         if self.plant == Some(Plant::NoMark)
             && let Deed::Expire { session, renewed } = &mut deed
@@ -380,7 +394,7 @@
         if late { self.rng.random_range(5..5000) } else { self.rng.random_range(1..8) }
     }
 
-    fn to_store(&mut self, n: usize, deed: Deed) {
+    fn tell_store(&mut self, n: usize, deed: Deed) {
         let node = &self.nodes[n];
         let (life, asked) = (node.life, node.clock.at(self.now));
         if self.is_lost() || self.to_store.contains(&n) {
@@ -496,11 +510,11 @@
         };
         let deed = if node.own.until_ms() == 0 { open } else { Deed::Renew { session, fit, work } };
         if draining && idle {
-            self.to_store(n, Deed::Close { session });
+            self.tell_store(n, Deed::Close { session });
             self.kill(n);
             return;
         }
-        self.to_store(n, deed);
+        self.tell_store(n, deed);
         let after = self.rng.random_range(EVERY_MS * 9 / 10..=EVERY_MS);
         self.at(after, Event::Renew { node: n, life });
     }
@@ -539,7 +553,7 @@
         }
         self.nodes[n].leaving.extend(turned.hand_on);
         for Fence { duty, number } in turned.over.into_iter().chain(turned.left) {
-            self.to_store(n, Deed::Release { session, duty, number, state: Vec::new(), unable: false });
+            self.tell_store(n, Deed::Release { session, duty, number, state: Vec::new(), unable: false });
         }
     }
 
@@ -554,7 +568,7 @@
         if node.leaving.remove(&fence.duty) {
             node.own.stop(&fence);
             let (session, Fence { duty, number }) = (node.session, fence);
-            self.to_store(n, Deed::Release { session, duty, number, state: vec![1], unable: false });
+            self.tell_store(n, Deed::Release { session, duty, number, state: vec![1], unable: false });
             return;
         }
         let good = match self.plant {
