Decide by pooled evidence which servers the fleet takes out (not wired yet)

Need: each node removes for itself what its own few calls prove, so with many callers of many servers it removes late, and one ill path makes it drop what is well.

Change: src/verdict has, as plain functions and types without I/O, the evidence of a voter with its bounds, a test by betting that may be looked at at any time, the count of votes with tolerance of f lying machines, scopes by zone, the cap by number and capacity, numbered lists with a guard, and the way back by trials and steps. No task sends or applies any of it yet: the program behaves as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod route;
 pub mod store;
 mod validate;
+pub mod verdict;
 
 pub use interface::{Action, Event, Gauges, Outcome, RequestId, Settings, SettingsError};
 pub use logic::Controller;
--- /dev/null
+++ b/src/verdict/mod.rs
@@ -0,0 +1,18 @@
+//! Which servers the fleet as a whole takes out. Each node goes on removing for itself what its own calls prove
+//! ([`crate::route`]); here the evidence of many is counted, so that what none of them can prove alone is known soon,
+//! and one ill path removes nothing for the others.
+//!
+//! Nodes note what their calls tell ([`evidence::Recorder`]) and send it to the one that counts, which keeps it
+//! ([`evidence::Book`]) and asks [`count::judge`] what it comes to: a test that may be looked at at any time
+//! ([`sequential`]), under a bound on liars. [`cap::decide`] holds that to what may be removed at all, and
+//! [`keeper::Keeper`] makes numbered lists of it, which every node applies through a [`list::Guard`].
+//!
+//! No I/O and no clock: times are ms of a clock that never runs backwards, and what crosses the wire is ages. That one
+//! node counts at a time is a duty's business: its number is an argument.
+
+pub mod cap;
+pub mod count;
+pub mod evidence;
+pub mod keeper;
+pub mod list;
+pub mod sequential;
