Measure votes on servers on an emulated fleet, and hold slow servers to a factor

Need: what votes gain and risk was not measured; a liar could flood the book of evidence.

The rate allowed is now that of a server that takes half again as long, wherever the percentile lies. Each voter's evidence of a server is bounded, voters are bounded, and the pool's rate leaves out liars of both kinds.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 .PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-duties
+.PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-verdicts
 
 build:
 	cargo build --release --locked
@@ -40,3 +41,7 @@
 # processes measures one part; SMALL=1 less, COUNT=N so many histories, ROUNDS=N so many holders lost.
 measure-duties:
 	cargo bench --locked --bench duties
+# What votes on servers gain and risk, on an emulated fleet. PART=speed, liars, worth, bytes or calm; SEEDS and HOURS (of
+# all seeds together) set how much.
+measure-verdicts:
+	cargo bench --locked --bench verdicts
--- a/src/verdict/count.rs
+++ b/src/verdict/count.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF, Normal};
 
 use super::evidence::{Book, CLASSES, Counts, Entry};
 use super::sequential::{Wealth, bar, bet, contribution, most_of, pooled};
@@ -24,6 +25,17 @@
 /// Calls that a voter's own rate counts as "none bad" beside those that it has made.
 const OWN_CALLS: f64 = 8.0;
 
+/// A failure rate that any server may have, and how many times the middle server's.
+const USUAL_FAILING: f64 = 0.02;
+const MOST_FAILING_TIMES: f64 = 2.0;
+/// The part of slow calls that any server may have.
+const USUAL_SLOW: f64 = 0.1;
+/// How much slower than the middle one a server may be, as log time (a half), and the spread of single calls' times
+/// that it is held to. So the bound is the same factor wherever a voter's idea of slow lies just then: when all become
+/// slow at once that lags, and twice the middle rate is no half more time.
+const MOST_SLOWER: f64 = 0.405_465_108_108_164;
+const SPREAD: f64 = 0.35;
+
 /// In what a server is worse than the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -35,11 +47,15 @@
 }
 
 impl Kind {
-    /// The rate that any server may have, and how many times the pool's.
-    fn null(self) -> (f64, f64) {
+    /// The rate that a server may have where the middle one has this.
+    fn allowed(self, middle: f64) -> f64 {
         match self {
-            Self::Failing => (0.03, 3.0),
-            Self::Slow => (0.1, 2.0),
+            Self::Failing => (MOST_FAILING_TIMES * middle).max(USUAL_FAILING),
+            Self::Slow => {
+                let normal = Normal::standard();
+                let middle = middle.clamp(1e-6, 1.0 - 1e-6);
+                normal.cdf(normal.inverse_cdf(middle) + MOST_SLOWER / SPREAD).max(USUAL_SLOW)
+            }
         }
     }
 
@@ -224,7 +240,8 @@
 pub fn judge(book: &Book, now: f64, rules: &Rules) -> Findings {
     let electorate = Electorate::new(book, rules);
     let units = electorate.units.len();
-    let sheets = book.servers.iter().map(|(server, all)| {
+    let sheets = book.servers.iter().map(|(server, shelf)| {
+        let all = &shelf.entries;
         let life = if rules.has(Planted::LivesMixed) { None } else { current_life(all, &electorate) };
         let held_to = |entry: &&Entry| counts_for(entry, life) && !book.forgiven(*server, entry.slot);
         let entries: Vec<&Entry> = all.iter().filter(held_to).collect();
@@ -304,13 +321,10 @@
             seen.extend(
                 self.heard().filter(|unit| who(*unit)).map(|unit| kind.of(&sheet.by_unit[unit][class])),
             );
-            // Liars could make the pool look ill, and hide a server that is.
-            let high = seen.len().saturating_sub(self.electorate.liars);
-            if high > 0 && high < seen.len() {
-                seen.select_nth_unstable(high);
-            }
-            let (bad, calls) =
-                seen[..high].iter().fold((0, 0), |(bad, calls), one| (bad + one.0, calls + one.1));
+            // Liars could make the pool look ill, and hide a server that is; or well, and no server would be.
+            self.drop_highest(&mut seen, |(bad, _)| *bad);
+            self.drop_highest(&mut seen, |(bad, calls)| calls - bad);
+            let (bad, calls) = seen.iter().fold((0, 0), |(bad, calls), one| (bad + one.0, calls + one.1));
             if calls >= LEAST_CALLS {
                 rates.push(f64::from(bad) / f64::from(calls));
             }
@@ -319,6 +333,15 @@
         Some(*rates.select_nth_unstable_by(at, f64::total_cmp).1)
     }
 
+    /// Leaves those out who say the most, as many as may lie.
+    fn drop_highest(&self, seen: &mut Vec<(u32, u32)>, what: impl Fn(&(u32, u32)) -> u32) {
+        let high = seen.len().saturating_sub(self.electorate.liars);
+        if high > 0 && high < seen.len() {
+            seen.select_nth_unstable_by_key(high, what);
+        }
+        seen.truncate(high);
+    }
+
     fn pool(&self, kind: Kind) -> Pool {
         let units = &self.electorate.units;
         let fleet = std::array::from_fn(|class| self.middle_rate(kind, class, |_| true).unwrap_or_default());
@@ -333,12 +356,11 @@
     /// The rate that a server may have in a unit's eyes: by what is usual for any, in the fleet, in its zone, and on
     /// its own way to all other servers.
     fn allowed(&self, kind: Kind, class: usize, unit: usize, sheet: &Sheet, pool: &Pool) -> f64 {
-        let (floor, times) = kind.null();
         let (bad, calls) = kind.of(&self.totals[unit][class]);
         let (here_bad, here) = kind.of(&sheet.by_unit[unit][class]);
         let own = f64::from(bad - here_bad) / (f64::from(calls - here) + OWN_CALLS);
         let shared = pool.fleet[class].max(pool.zones[self.electorate.units[unit].zone][class]);
-        floor.max(times * shared).max(own)
+        kind.allowed(shared).max(own)
     }
 
     fn outliers(&self, kind: Kind, span: u64, from: u64) -> Vec<Outlier> {
@@ -408,7 +430,7 @@
                 all.iter_mut().zip(made).for_each(|(sum, log)| *sum += log);
             }
             if !any && self.rules.has(Planted::AbstentionsAsGood) {
-                (any, all) = (true, bet(LEAST_CALLS, 0, kind.null().0));
+                (any, all) = (true, bet(LEAST_CALLS, 0, kind.allowed(0.0)));
             }
             any.then(|| (self.electorate.units[unit].zone, contribution(&all, most)))
         };
--- a/src/verdict/evidence.rs
+++ b/src/verdict/evidence.rs
@@ -22,10 +22,16 @@
 /// Evidence that waits to be sent is bounded by this many items, and dropped by age alone: what is dropped by what it
 /// says would bend the rest.
 const MOST_WAITING: usize = 1024;
-/// Entries that the counting node keeps of one server.
+/// Entries that the counting node keeps of one server, and of one voter's among them: a liar that floods the book
+/// drives out nobody else's.
 const MOST_ENTRIES: usize = 65_536;
+const MOST_OF_VOTER: u32 = 1_024;
+/// Voters that it knows, in all.
+const MOST_VOTERS: usize = 4_096;
 /// Servers that it keeps evidence of.
 const MOST_SERVERS: usize = 16_384;
+/// Messages of evidence that reach the counting node in a second, however large the fleet.
+const MESSAGES_A_SECOND: f64 = 200.0;
 /// A server that has started so shortly ago is not held to its times, in ms.
 pub const COLD_MS: f64 = 30_000.0;
 /// A call is slow past this many times the pool's 90th percentile: ln 1.5.
@@ -40,6 +46,11 @@
 const TO_P90: f64 = 1.281_551_565_544_6;
 const MAD_TO_SIGMA: f64 = 1.4826;
 
+/// How often each of so many nodes sends its evidence, in ms: more of them know as much by saying it less often.
+pub fn send_every_ms(nodes: usize) -> f64 {
+    (nodes as f64 * 1_000.0 / MESSAGES_A_SECOND).max(1_000.0)
+}
+
 /// Calls, and what they showed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
@@ -117,6 +128,9 @@
         /// The highest that was counted.
         seen: u64,
     },
+    /// Nobody else is listened to.
+    #[error("{MOST_VOTERS} other nodes have sent evidence")]
+    Voters,
 }
 
 impl Evidence {
@@ -272,6 +286,36 @@
     pub(super) counts: Counts,
 }
 
+/// What is kept of one server.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shelf {
+    /// The oldest first.
+    pub(super) entries: VecDeque<Entry>,
+    of_voter: HashMap<usize, u32>,
+}
+
+impl Shelf {
+    fn put(&mut self, entry: Entry) {
+        let of_voter = self.of_voter.entry(entry.voter).or_default();
+        if *of_voter >= MOST_OF_VOTER {
+            return;
+        }
+        *of_voter += 1;
+        let place = self.entries.partition_point(|one| one.slot <= entry.slot);
+        self.entries.insert(place, entry);
+        if self.entries.len() > MOST_ENTRIES {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some(entry) = self.entries.pop_front() else { return };
+        if let Some(count) = self.of_voter.get_mut(&entry.voter) {
+            *count -= 1;
+        }
+    }
+}
+
 /// All evidence that counts, as the counting node has it.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -279,7 +323,7 @@
     /// The highest number of each voter.
     seen: Vec<u64>,
     by_name: HashMap<String, usize>,
-    pub(super) servers: BTreeMap<SocketAddr, VecDeque<Entry>>,
+    pub(super) servers: BTreeMap<SocketAddr, Shelf>,
     /// Slots in which a server is known to restart or be worked on.
     grace: HashMap<SocketAddr, (u64, u64)>,
 }
@@ -288,10 +332,10 @@
     /// Takes the evidence of a voter.
     ///
     /// # Errors
-    /// It cannot be, or was taken already.
+    /// It cannot be, was taken already, or comes from one voter too many.
     pub fn take(&mut self, now: f64, voter: &Voter, evidence: &Evidence) -> Result<(), EvidenceError> {
         evidence.check()?;
-        let at = self.voter(voter);
+        let at = self.voter(voter).ok_or(EvidenceError::Voters)?;
         let seen = self.seen[at];
         if evidence.number <= seen {
             return Err(EvidenceError::Again { told: evidence.number, seen });
@@ -309,26 +353,24 @@
             let life = item.life.map(|life| (life.incarnation, ended - f64::from(life.up_ms)));
             let class = item.class.min(CLASSES as u8 - 1);
             let entry = Entry { slot: slot(ended), voter: at, class, life, counts: item.counts };
-            let entries = self.servers.entry(item.server).or_default();
-            let place = entries.partition_point(|one| one.slot <= entry.slot);
-            entries.insert(place, entry);
-            if entries.len() > MOST_ENTRIES {
-                entries.pop_front();
-            }
+            self.servers.entry(item.server).or_default().put(entry);
         }
         Ok(())
     }
 
-    fn voter(&mut self, voter: &Voter) -> usize {
+    fn voter(&mut self, voter: &Voter) -> Option<usize> {
         if let Some(at) = self.by_name.get(&voter.name) {
             // It may have moved.
             self.voters[*at] = voter.clone();
-            return *at;
+            return Some(*at);
+        }
+        if self.voters.len() >= MOST_VOTERS {
+            return None;
         }
         self.voters.push(voter.clone());
         self.seen.push(0);
         self.by_name.insert(voter.name.clone(), self.voters.len() - 1);
-        self.voters.len() - 1
+        Some(self.voters.len() - 1)
     }
 
     /// A voter has begun another life: its numbers start anew, and what the one before it said stays.
@@ -351,11 +393,11 @@
     /// Drops what is too old to count.
     pub fn expire(&mut self, now: f64) {
         let oldest = slot(now).saturating_sub(SLOTS);
-        self.servers.retain(|_, entries| {
-            while entries.front().is_some_and(|entry| entry.slot < oldest) {
-                entries.pop_front();
+        self.servers.retain(|_, shelf| {
+            while shelf.entries.front().is_some_and(|entry| entry.slot < oldest) {
+                shelf.drop_oldest();
             }
-            !entries.is_empty()
+            !shelf.entries.is_empty()
         });
         self.grace.retain(|_, (_, until)| *until >= oldest);
     }
--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -339,6 +339,17 @@
     assert_eq!(take(&mut table, &long), Err(EvidenceError::Long(MOST_ITEMS + 1)));
 }
 
+#[rstest]
+fn a_flood_of_evidence_drives_out_nobody_elses() {
+    let mut table = Table::new();
+    table.slots(8, 0..12, dead(2));
+    let praise = |age: u32| Item { age_ms: age * 1_000, ..item(2, counts(10_000, 0)) };
+    for _ in 0..1_100 {
+        table.says(&voter(12, 0), (0..64).map(praise).collect());
+    }
+    assert_eq!(table.out(rules()), [(at(2), Scope::Everywhere)]);
+}
+
 #[rstest]
 fn a_message_is_bounded_and_what_is_left_comes_with_the_next() {
     let mut recorder = Recorder::default();
