Decide which partner may have which route, and merge what partners tell

Partner sites are to tell each other which requests they serve, under restrictions on who else may know. Needed first is what is decided, as functions without I/O: restrictions as a lattice with a meet, strict reading within bounds, the last good table for its time, damping, the merge as a function of the set of tables in persistent maps, what each partner is told with withdrawals and tightened restrictions first, and look-up by tuple space search.

Nothing of the running program uses it yet. 38 tests hold it: laws of the meet and of the merge on drawn sets, 40 drawn histories of changes held step by step against a slow, separate rule for look-up and for what each site is told.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod knowledge;
 pub mod logic;
 pub mod node;
+pub mod partners;
 pub mod peers;
 pub mod route;
 pub mod store;
