--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 .PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-duties
 .PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-verdicts
+.PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-partners
 
 build:
 	cargo build --release --locked
@@ -45,3 +46,7 @@
 # all seeds together) set how much.
 measure-verdicts:
 	cargo bench --locked --bench verdicts
+# What partners' routes cost, and histories of sites that pass routes to each other: COUNT=20 so many (else 200).
+measure-partners:
+	cargo bench --locked --bench partners
+	COUNT=$(or $(COUNT),200) cargo test --locked --test partners_rules -- --nocapture
