Count a session's lease anew where its node asks for it again

Seen: a history in simulated time in which number 35 of a duty acted after 37, under a trial of the spread. Checked: the tables and the watch line by line. Opening a session that lives moved no mark, so the watch counted from the first question, while the node counts from the one that was answered: with lost answers it could act past its end there. The program asks under a new word each time and was not open to it; the world of the tests asks under the same one. Change: asking again counts as a renewal. Whether it was the cause of that history is not shown: the trial is to be played again.

--- a/src/duty/table.rs
+++ b/src/duty/table.rs
@@ -460,8 +460,10 @@
     }
 
     fn open(&mut self, id: u64, new: Session) -> Result<bool, Refused> {
-        if self.sessions.contains_key(&id) {
-            return Ok(false);
+        // One that asks again for the session that it has counts its lease from that question: so does the watch.
+        if let Some(there) = self.sessions.get_mut(&id) {
+            there.renewed = self.revision;
+            return Ok(std::mem::replace(&mut there.late, false));
         }
         if new.node.is_empty() || new.node.len() > MOST_NAME {
             return Err(Refused::Range(format!("the name '{}'", new.node)));
--- a/tests/duties_rules.rs
+++ b/tests/duties_rules.rs
@@ -46,6 +46,26 @@
     Deed::Renew { session: n, fit, work }
 }
 
+#[test]
+fn a_session_that_is_asked_for_again_is_not_ended_by_the_time_of_its_first_question() {
+    let mut table = table(1, 1);
+    let (mut watch, mut own) = (Watch::default(), Own::default());
+    own.begin(1);
+    assert_eq!(watch.look(0, &table), []);
+    // The answer to the first question never came: the node asks again, and may act by the second one.
+    table.apply(open(1, 1), &all).expect("it is there");
+    own.turn_to(table.grants(1).expect("it lives"));
+    own.renewed(1, LEASE - 100, LEASE);
+    let held = own.held().next().expect("a duty");
+    assert_eq!(watch.look(LEASE - 99, &table), []);
+    for now in (LEASE - 99..2 * LEASE - 100).step_by(50) {
+        for deed in watch.look(now, &table) {
+            table.apply(deed, &all).expect("no error");
+        }
+        assert!(own.may(now, &held) && table.session(1).is_some(), "at {now} ms");
+    }
+}
+
 fn table(duties: usize, nodes: u64) -> Table {
     let mut table = Table::default();
     (1..=nodes).for_each(|n| table.apply(open(n, 1), &all).expect("room"));
