Shed what a node has over its share, a few duties at a time, and release duties beside renewals

Change: a second bound in Field (share rounded up), eight moves a node at a time; releases as tasks of their own, tried again; Held::outdated tells the store a higher number; sessions open cold, so that one that is not heard of gets no duty.

--- a/src/duty/assign.rs
+++ b/src/duty/assign.rs
@@ -1,6 +1,7 @@
 //! Who gets which duty: those below their share first, then those below it rounded up, and among these the best draw of a
 //! rendezvous (Thaler, Ravishankar 1998) under a bound of load (Mirrokni, Thorup, Zadimoghaddam 2018). What is held stays
-//! where it is but for what a node lacks to its share. Whole numbers only: the store's members must come to the same.
+//! where it is but for what a node lacks to its share, and what one has over its share rounded up. Whole numbers only: the
+//! store's members must come to the same.
 
 use std::collections::BTreeMap;
 
@@ -17,6 +18,9 @@
     draw: u64,
     weight: u64,
     load: u64,
+    /// Whether it takes no more by a move, or gives none, in this turn.
+    full: bool,
+    kept: bool,
 }
 
 /// All of them, by the ids of their sessions.
@@ -35,7 +39,8 @@
 
     /// A node that may be given duties, in proportion to its weight.
     pub fn seat(&mut self, id: u64, draw: u64, weight: u8) {
-        if weight > 0 && self.seats.insert(id, Seat { draw, weight: weight.into(), load: 0 }).is_none() {
+        let seat = Seat { draw, weight: weight.into(), load: 0, full: false, kept: false };
+        if weight > 0 && self.seats.insert(id, seat).is_none() {
             self.weight += u64::from(weight);
         }
     }
@@ -88,13 +93,35 @@
         None
     }
 
-    /// Who lacks most to its share, and who has most above its own: the next move of a duty, if one is due.
+    /// The next move of a duty, if one is due: to who lacks most to its share, from who has most above its own; and where
+    /// nobody lacks any, from who has most above its share rounded up to who has most room below that.
     pub fn next_move(&self) -> Option<(u64, u64)> {
-        let lack = |(_, seat): &(&u64, &Seat)| self.share(seat).saturating_sub(seat.load);
-        let above = |(_, seat): &(&u64, &Seat)| seat.load.saturating_sub(self.share(seat));
-        let to = self.seats.iter().max_by_key(lack).filter(|seat| lack(seat) > 0)?;
-        let from = self.seats.iter().max_by_key(above).filter(|seat| above(seat) > 0)?;
-        Some((*from.0, *to.0))
+        self.move_about(Self::share).or_else(|| self.move_about(Self::most))
+    }
+
+    /// A move from above a bound to below it.
+    fn move_about(&self, bound: fn(&Self, &Seat) -> u64) -> Option<(u64, u64)> {
+        let over = |seat: &Seat| if seat.kept { 0 } else { seat.load.saturating_sub(bound(self, seat)) };
+        let room = |seat: &Seat| if seat.full { 0 } else { bound(self, seat).saturating_sub(seat.load) };
+        let most = |of: &dyn Fn(&Seat) -> u64| {
+            let seats = self.seats.iter().map(|(id, seat)| (of(seat), *id));
+            seats.max().filter(|(much, _)| *much > 0).map(|(_, id)| id)
+        };
+        Some((most(&over)?, most(&room)?))
+    }
+
+    /// In this turn a node takes nothing more by a move.
+    pub fn fill(&mut self, id: u64) {
+        if let Some(seat) = self.seats.get_mut(&id) {
+            seat.full = true;
+        }
+    }
+
+    /// In this turn a node gives nothing more by a move.
+    pub fn keep(&mut self, id: u64) {
+        if let Some(seat) = self.seats.get_mut(&id) {
+            seat.kept = true;
+        }
     }
 
     /// How good the draw of a duty is for a node.
--- a/src/duty/beat.rs
+++ b/src/duty/beat.rs
@@ -47,6 +47,14 @@
     pub seen: Option<u64>,
 }
 
+/// Why a holder beats no more.
+enum End {
+    /// The duty is to be handed on.
+    HandOn,
+    /// This number was seen, and it is above the holder's.
+    Outdated(u64),
+}
+
 /// The duties of the operator's table, each with a task on this thread that does it.
 pub fn all(tables: &[BeatTable], name: &str, from: IpAddr) -> Registry {
     let mut registry = Registry::default();
@@ -81,22 +89,29 @@
             let mut sequence = read_state(held.state());
             tokio::select! {
                 // One beat is never broken off to hand on: its answer is waited for, or it is done twice.
-                done = self.beat(&held, &mut sequence) => match done {
-                    Ok(()) => {
-                        let state = sequence.to_le_bytes().to_vec();
-                        if let Err(length) = held.hand_on(state).await {
-                            warn!("a state of {length} bytes is not handed on");
+                done = self.beat(&held, &mut sequence) => {
+                    let state = sequence.to_le_bytes().to_vec();
+                    match done {
+                        Ok(End::HandOn) => {
+                            if let Err(length) = held.hand_on(state).await {
+                                warn!("a state of {length} bytes is not handed on");
+                            }
+                        }
+                        Ok(End::Outdated(seen)) => {
+                            if let Err(lost) = held.outdated(seen, state).await {
+                                debug!("{lost}");
+                            }
                         }
+                        Err(lost) => debug!("{lost}"),
                     }
-                    Err(lost) => debug!("{lost}"),
-                },
+                }
                 lost = held.lost() => debug!("{lost}"),
             }
         }
     }
 
-    /// Beats until the duty is to be handed on.
-    async fn beat(&self, held: &Held, sequence: &mut u64) -> Result<(), Lost> {
+    /// Beats until the duty is to be handed on, or a higher number was seen.
+    async fn beat(&self, held: &Held, sequence: &mut u64) -> Result<End, Lost> {
         let mut line = None;
         loop {
             let beat =
@@ -110,7 +125,12 @@
                 Ok(Reply { seen, .. }) => {
                     let Fence { duty, number } = held.fence();
                     warn!("duties: {duty} is turned down under number {number}: {seen:?} was seen");
-                    return Err(Lost(held.fence().clone()));
+                    // One that turns down whatever comes is not to keep the store busy.
+                    sleep(AGAIN).await;
+                    return match seen {
+                        Some(seen) if seen > *number => Ok(End::Outdated(seen)),
+                        _ => Err(Lost(held.fence().clone())),
+                    };
                 }
                 Err(problem) => {
                     debug!("{} is not reached: {problem}", self.to);
@@ -120,7 +140,7 @@
                 }
             }
             tokio::select! {
-                () = held.to_hand_on() => return Ok(()),
+                () = held.to_hand_on() => return Ok(End::HandOn),
                 () = sleep(self.every) => {}
             }
         }
--- a/src/duty/hold.rs
+++ b/src/duty/hold.rs
@@ -1,9 +1,10 @@
 //! A node's session and what it holds: one task renews the session with the progress of each duty, hands what the store
 //! gives to the tasks that do the work, and takes it from them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::time::Duration;
@@ -13,14 +14,16 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::ask::{Store, Word};
 use super::lease::now_ms;
 use super::own::{Own, Turned};
 use super::table::{Deed, Fit, Grant, Grants, Refused, Standing, Work};
 use super::{DutyName, Fence, MOST_STATE};
 use crate::fleet::view::View;
-use crate::store::{Answer, Query, ask_from};
+use crate::store::{Answer, Query};
 
 /// Renewals in one lease.
 const RENEWALS: u64 = 4;
@@ -30,8 +33,6 @@
 const WORDS: usize = 256;
 /// Time until the store is asked again for what it did not answer.
 const AGAIN: Duration = Duration::from_millis(50);
-/// How long one try at the store may take at least.
-const SHORTEST_TRY: Duration = Duration::from_millis(150);
 /// How long the store has to hear that a session ends.
 const LAST: Duration = Duration::from_millis(300);
 /// How often a task that waits for the end of its lease looks at the clock: tokio's may stand still while it goes on.
@@ -52,14 +53,6 @@
     hand_on: watch::Sender<bool>,
 }
 
-/// What a task says of a duty that it has.
-#[derive(Debug)]
-struct Word {
-    fence: Fence,
-    state: Vec<u8>,
-    unable: bool,
-}
-
 /// A duty that this node has. Dropped without [`Held::hand_on`], it counts as one that this node cannot do.
 #[derive(Debug)]
 pub struct Held {
@@ -133,10 +126,23 @@
         self.right.over.store(true, SeqCst);
         self.said = true;
         let state = if fits { state } else { Vec::new() };
-        let word = Word { fence: self.fence.clone(), state, unable: false };
-        let _ = self.words.send(word).await;
+        let _ = self.words.send(Word { state, ..Word::over(self.fence.clone()) }).await;
         if fits { Ok(()) } else { Err(length) }
     }
+
+    /// Gives the duty back as who takes its effects has seen a higher number: the store is told, and the next number
+    /// is above that. After a store was restored from a backup, this brings its numbers up to what receivers remember.
+    ///
+    /// # Errors
+    /// The lease is over or the duty was taken: then a higher number is as it should be, and nothing is said of it.
+    pub async fn outdated(mut self, seen: u64, state: Vec<u8>) -> Result<(), Lost> {
+        let fence = self.check()?.clone();
+        self.right.over.store(true, SeqCst);
+        self.said = true;
+        let state = if state.len() <= MOST_STATE { state } else { Vec::new() };
+        let _ = self.words.send(Word { state, seen: Some(seen), ..Word::over(fence) }).await;
+        Ok(())
+    }
 }
 
 impl Drop for Held {
@@ -145,7 +151,7 @@
         self.right.over.store(true, SeqCst);
         if !self.said {
             // A word that finds no room is made up for at the next renewal, where the store counts it as held still.
-            let _ = self.words.try_send(Word { fence: self.fence.clone(), state: Vec::new(), unable });
+            let _ = self.words.try_send(Word { unable, ..Word::over(self.fence.clone()) });
         }
     }
 }
@@ -286,7 +292,10 @@
     said: mpsc::Receiver<Word>,
     began_ms: u64,
     fit: Fit,
-    first: usize,
+    store: Rc<Store>,
+    /// What the store is being told of: none of it holds up a renewal.
+    releases: JoinSet<u64>,
+    releasing: BTreeSet<u64>,
 }
 
 /// Resolves then; never where there is no such time.
@@ -302,6 +311,7 @@
     Due,
     Rung,
     Said(Word),
+    Told(u64),
     Leave(Leave),
     Late,
 }
@@ -309,7 +319,8 @@
 impl Keeper {
     fn new(options: Options, part: Part, view: watch::Receiver<View>, registry: Registry) -> Self {
         let (words, said) = mpsc::channel(WORDS);
-        let first = rand::rng().random_range(0..options.members.len().max(1));
+        let every = Duration::from_millis(options.lease_ms / RENEWALS);
+        let store = Rc::new(Store::new(options.members.clone(), options.from, every));
         let fit = if options.cold_ms > 0 { Fit::Cold } else { Fit::Ready };
         Self {
             options,
@@ -324,7 +335,9 @@
             said,
             began_ms: now_ms(),
             fit,
-            first,
+            store,
+            releases: JoinSet::new(),
+            releasing: BTreeSet::new(),
         }
     }
 
@@ -340,20 +353,30 @@
                 () = tokio::time::sleep_until(due) => Woken::Due,
                 () = self.part.bell.notified() => Woken::Rung,
                 Some(word) = self.said.recv() => Woken::Said(word),
+                Some(Ok(number)) = self.releases.join_next() => Woken::Told(number),
                 Some(leave) = self.part.leaves.recv(), if left.is_none() => Woken::Leave(leave),
                 () = until(left.as_ref().map(|(at, _)| *at)) => Woken::Late,
             };
             match woken {
                 Woken::Due => {
+                    let before = self.session;
                     let renewed = self.renew().await;
                     let every = self.every().mul_f64(rand::rng().random_range(0.9..1.0));
-                    due = Instant::now() + if renewed { every } else { AGAIN.min(every) };
+                    let wait = match (before, self.session) {
+                        // It counts as cold until it has renewed: it has heard that its session began.
+                        (None, Some(_)) => Duration::ZERO,
+                        _ if renewed => every,
+                        _ => AGAIN.min(every),
+                    };
+                    due = Instant::now() + wait;
                 }
                 Woken::Rung => self.look().await,
-                Woken::Said(word) => self.give_back(word).await,
+                Woken::Said(word) => self.give_back(word),
+                Woken::Told(number) => drop(self.releasing.remove(&number)),
                 Woken::Late => {
                     warn!("duties: {} are given up: nobody took them in time", self.rights.len());
                     self.end_all();
+                    self.releases.shutdown().await;
                 }
                 Woken::Leave(leave) => {
                     self.fit = Fit::Draining;
@@ -363,7 +386,9 @@
                 }
             }
             self.show();
+            // The end of the session would throw away what a word of a duty hands on.
             if self.rights.is_empty()
+                && self.releases.is_empty()
                 && let Some((_, back)) = left.take()
             {
                 self.close().await;
@@ -402,20 +427,21 @@
     async fn open(&mut self, incarnation: u64) -> bool {
         let session = rand::rng().random();
         let declare = Deed::Declare(self.registry.tasks.keys().cloned().collect());
-        if let Err(problem) = self.tell(declare).await {
+        if let Err(problem) = self.store.tell(declare).await {
             debug!("duties: the store is not told of them: {problem}");
             return false;
         }
         let Options { lease_ms, still_most, weight, .. } = self.options;
-        let (node, fit) = (self.options.name.clone(), self.fit);
+        // A node that does not hear of its session, for its link is slower than its lease, is to get no duty with it.
+        let (node, fit) = (self.options.name.clone(), Fit::Cold);
         let open = Deed::Open { session, node, incarnation, weight, lease_ms, still_most, fit };
         let asked = now_ms();
-        match self.tell(open).await {
+        match self.store.tell(open).await {
             Ok(Ok(Some(grants))) => {
                 info!("duties: session {session:016x} begins, with a lease of {lease_ms} ms");
                 self.session = Some((session, incarnation));
                 self.own.begin(session);
-                self.confirmed(asked, grants).await;
+                self.confirmed(asked, grants);
                 true
             }
             Ok(other) => {
@@ -439,9 +465,9 @@
         let renewal = Deed::Renew { session, fit: self.fit, work: work.collect() };
         // The lease counts from here, whenever the answer comes.
         let asked = now_ms();
-        match self.tell(renewal).await {
+        match self.store.tell(renewal).await {
             Ok(Ok(Some(grants))) => {
-                self.confirmed(asked, grants).await;
+                self.confirmed(asked, grants);
                 true
             }
             Ok(Err(Refused::Ended(_))) | Ok(Ok(None)) => {
@@ -462,24 +488,24 @@
     }
 
     /// The store has confirmed what was asked then. What was taken is over before the lease goes on.
-    async fn confirmed(&mut self, asked_ms: u64, grants: Grants) {
+    fn confirmed(&mut self, asked_ms: u64, grants: Grants) {
         self.stands(&grants);
         let session = grants.session;
         let turned = self.own.turn_to(grants);
         self.take(&turned);
         self.own.renewed(session, asked_ms, self.options.lease_ms);
         self.until_ms.store(self.own.until_ms(), SeqCst);
-        self.turn(turned).await;
+        self.turn(turned);
     }
 
     /// Looks at what the store says of the duties, without a renewal.
     async fn look(&mut self) {
         let Some((session, _)) = self.session else { return };
-        if let Ok(Answer::Duties(Some(grants))) = self.ask(Query::Duties { session }).await {
+        if let Ok(Answer::Duties(Some(grants))) = self.store.ask(Query::Duties { session }).await {
             self.stands(&grants);
             let turned = self.own.turn_to(grants);
             self.take(&turned);
-            self.turn(turned).await;
+            self.turn(turned);
         }
     }
 
@@ -496,9 +522,9 @@
         }
     }
 
-    async fn turn(&mut self, turned: Turned) {
+    fn turn(&mut self, turned: Turned) {
         for grant in turned.begun {
-            self.begin(grant).await;
+            self.begin(grant);
         }
         for duty in turned.hand_on {
             if let Some((_, right)) = self.rights.get(&duty) {
@@ -507,11 +533,11 @@
         }
         // Whoever gets it next does not wait for a lease to end.
         for fence in turned.over.into_iter().chain(turned.left) {
-            self.release(Word { fence, state: Vec::new(), unable: false }).await;
+            self.release(Word::over(fence));
         }
     }
 
-    async fn begin(&mut self, grant: Grant) {
+    fn begin(&mut self, grant: Grant) {
         let Grant { duty, number, state, .. } = grant;
         let fence = Fence { duty: duty.clone(), number };
         let right = Arc::new(Right {
@@ -530,12 +556,12 @@
             // A held one that was not taken has said so itself; it says it twice at the most.
             warn!("duties: {duty} is given back: nothing here does it");
             self.own.stop(&fence);
-            self.release(Word { fence, state: Vec::new(), unable: true }).await;
+            self.release(Word { unable: true, ..Word::over(fence) });
         }
     }
 
     /// A task has stopped.
-    async fn give_back(&mut self, word: Word) {
+    fn give_back(&mut self, word: Word) {
         let current =
             self.rights.get(&word.fence.duty).is_some_and(|(number, _)| *number == word.fence.number);
         if current {
@@ -544,19 +570,25 @@
         if self.own.stop(&word.fence) {
             let how = if word.unable { "is given up" } else { "is handed on" };
             info!("duties: {} {how} under number {}", word.fence.duty, word.fence.number);
-            self.release(word).await;
+            self.release(word);
         }
     }
 
-    /// Tells the store that nobody here acts under a number any more. Where it does not hear, it is told again at the
+    /// Tells the store that nobody here acts under a number any more. Where it does not hear, it is told again after the
     /// next renewal.
-    async fn release(&mut self, word: Word) {
+    fn release(&mut self, word: Word) {
         let Some((session, _)) = self.session else { return };
-        let Word { fence: Fence { duty, number }, state, unable } = word;
-        let release = Deed::Release { session, duty, number, state, unable };
-        if let Err(problem) = self.tell(release).await {
-            debug!("duties: the store is not told of one that is over: {problem}");
+        let number = word.fence.number;
+        if !self.releasing.insert(number) {
+            return;
         }
+        let store = self.store.clone();
+        self.releases.spawn_local(async move {
+            if let Err(problem) = store.release(session, word).await {
+                debug!("duties: the store is not told of one that is over: {problem}");
+            }
+            number
+        });
     }
 
     fn end_all(&mut self) {
@@ -572,36 +604,8 @@
     async fn close(&mut self) {
         if let Some((session, _)) = self.session.take() {
             self.end_all();
-            let _ = self.tell(Deed::Close { session }).await;
-        }
-    }
-
-    async fn tell(&mut self, deed: Deed) -> Result<Result<Option<Grants>, Refused>, String> {
-        match self.ask(Query::Duty(deed)).await? {
-            Answer::Duty(done) => Ok(done),
-            other => Err(format!("{other:?}")),
-        }
-    }
-
-    /// Asks the members of the store, the one that answered last first.
-    async fn ask(&mut self, query: Query) -> Result<Answer, String> {
-        let patience = (self.every()).max(SHORTEST_TRY);
-        let count = self.options.members.len();
-        let mut silent = "no member of the store is named".to_owned();
-        for turn in 0..count {
-            let at = (self.first + turn) % count;
-            let member = self.options.members[at];
-            match timeout(patience, ask_from(&member.to_string(), self.options.from, query.clone())).await {
-                Ok(Ok(answer @ (Answer::NotDone(_) | Answer::Unsure(_)))) => silent = format!("{answer:?}"),
-                Ok(Ok(answer)) => {
-                    self.first = at;
-                    return Ok(answer);
-                }
-                Ok(Err(problem)) => silent = format!("{member}: {problem}"),
-                Err(_) => silent = format!("{member} does not answer in {patience:?}"),
-            }
+            let _ = self.store.tell(Deed::Close { session }).await;
         }
-        Err(silent)
     }
 
     fn show(&self) {
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -2,8 +2,10 @@
 //! under that; every effect of a duty carries the duty's number, and who takes effects turns down a lower one.
 //!
 //! What is promised stands in `docs/design-duties.md`. `lease`, `table`, `assign` and `fence` decide, without I/O but for
-//! the guard's file; `hold` has the tasks.
+//! the guard's file; `hold` has the tasks, `ask` their way to the
+//! store.
 
+mod ask;
 pub mod assign;
 pub mod beat;
 pub mod fence;
--- a/src/duty/table.rs
+++ b/src/duty/table.rs
@@ -17,6 +17,8 @@
 const MOST_DEATHS: u32 = 3;
 /// Renewals with progress after which a duty has done no harm.
 const PROVEN: u32 = 10;
+/// Duties that a node hands on at a time so that others have their share.
+const MOST_MOVES: usize = 8;
 /// Sessions that could not do a duty which are remembered.
 const MOST_AVOIDED: usize = 8;
 
@@ -655,16 +657,33 @@
         going.into_iter().for_each(|id| self.touch(Some(id)));
     }
 
-    /// Whoever lacks duties to its share gets some from those that have more than theirs.
+    /// Whoever lacks duties to its share gets some from those that have more than theirs, a few at a time from each: the
+    /// next ones follow when those are handed on.
     fn balance(&mut self, field: &mut Field) {
+        let mut under_way = BTreeMap::<u64, usize>::new();
+        for duty in self.duties.values() {
+            if let State::Held { by, hand_on: Some(_) } = duty.state {
+                *under_way.entry(by).or_default() += 1;
+            }
+        }
         while let Some((from, to)) = field.next_move() {
+            let moves = under_way.entry(from).or_default();
+            if *moves >= MOST_MOVES {
+                field.keep(from);
+                continue;
+            }
             let movable = self.duties.iter_mut().filter(|(_, duty)| {
                 matches!(duty.state, State::Held { by, hand_on: None } if by == from)
                     && !duty.avoid.contains(&to)
             });
             let best = movable.max_by_key(|(name, _)| field.draw(to, draw_of(name.as_str())));
-            let Some((_, duty)) = best else { return };
+            // One that can do none of them keeps nobody else from its share.
+            let Some((_, duty)) = best else {
+                field.fill(to);
+                continue;
+            };
             duty.state = State::Held { by: from, hand_on: Some(to) };
+            *moves += 1;
             field.unload(from);
             field.load(to);
             self.touch(Some(from));
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use rig::duties::judge;
+use rig::duties::{gaps, judge};
 use rig::relay::Link;
 use rig::target::{LEASE_MS, Target, node_of};
 use rig::{PATIENCE, Rig, until};
@@ -146,12 +146,12 @@
 }
 
 #[rstest]
-fn links_that_lose_and_delay() {
+#[case::they_lose_a_fifth(Link { delay_ms: 60, lost: 0.2, ..Link::default() })]
+#[case::they_take_two_seconds(Link { delay_ms: 2000, ..Link::default() })]
+fn links_of_all_that_lose_and_delay(#[case] link: Link) {
     let (rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
     for one in 1..=NODES {
-        for other in 1..=NODES {
-            rig.relay.link(one, other, |link| *link = Link { delay_ms: 60, lost: 0.2, ..*link });
-        }
+        others(one).into_iter().for_each(|other| rig.relay.link(one, other, |now| *now = link));
     }
     std::thread::sleep(Duration::from_secs(6));
     rig.relay.heal();
@@ -159,6 +159,73 @@
     nothing_is_broken(&target, true);
 }
 
+#[rstest]
+fn a_holder_whose_links_to_the_store_take_two_seconds_and_that_asks_again_and_again() {
+    let (rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, _) = holder(&target);
+    for other in others(n) {
+        rig.relay.both(n, other, |link| link.delay_ms = 2000);
+    }
+    let (_, next) = target.follows("announce", number);
+    assert_ne!(node_of(&next), n);
+    // The sessions that it asks for begin, and it does not hear of them in time: none of them is given the duty. If it
+    // was the one that led the store, that is another one's by now.
+    let from = target.now_ms();
+    std::thread::sleep(Duration::from_millis(4 * LEASE_MS));
+    let (seen, duty) = (target.seen(true), next.fence.duty);
+    assert_eq!(gaps(&seen, &[duty], (from, target.now_ms()), FOLLOWED_MS), []);
+    rig.relay.heal();
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn another_process_of_the_holder_takes_over_from_it() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, by) = holder(&target);
+    rig.upgrade(n, NODES + 2);
+    let (at, next) = target.follows("announce", number);
+    let last = target.beats().into_iter().rev().find(|beat| beat.1.by == by).expect("it acted");
+    assert!(at - last.0 < LEASE_MS / 2, "{} ms", at - last.0);
+    assert_eq!(next.sequence, last.1.sequence + 1);
+    rig.left(n);
+    rig.in_session(n);
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
+#[rstest]
+fn all_nodes_are_restarted_in_a_wave() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
+    let before = target.now_ms();
+    for n in 1..=NODES {
+        rig.signal(n, "-TERM");
+        rig.left(n);
+        rig.again(n);
+        rig.in_session(n);
+    }
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+    // No effect was lost or done twice: each was begun by the one that had the count of all before.
+    for duty in ["announce", "count"] {
+        let taken = target.beats().into_iter().filter(|beat| beat.2 && beat.1.fence.duty.as_str() == duty);
+        let sequences: Vec<u64> = taken.filter(|beat| beat.0 >= before).map(|beat| beat.1.sequence).collect();
+        assert!(sequences.windows(2).all(|two| two[1] == two[0] + 1), "{duty}: {sequences:?}");
+    }
+}
+
+#[rstest]
+fn a_target_that_has_seen_a_higher_number_than_the_store_gives() {
+    let (_rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
+    let (_, number, _) = holder(&target);
+    let (above, before) = (number + 1_000_000, target.last("announce").expect("a beat").1.sequence);
+    target.saw("announce", above);
+    let (_, next) = target.follows("announce", above);
+    assert!(next.sequence > before, "what was done is known to the next holder");
+    goes_on(&target);
+    nothing_is_broken(&target, true);
+}
+
 #[rstest]
 fn power_is_lost_for_all() {
     let (mut rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
--- a/tests/duties_rules.rs
+++ b/tests/duties_rules.rs
@@ -73,6 +73,34 @@
     table
 }
 
+#[rstest]
+fn what_the_first_node_has_alone_is_spread_over_those_that_come_a_few_at_a_time() {
+    let (nodes, duties) = (60, 200);
+    let mut table = table(duties, 1);
+    let wished = |table: &Table| {
+        let moves =
+            |duty: &sillflow::duty::table::Duty| matches!(duty.state, State::Held { hand_on: Some(_), .. });
+        table.duties().filter(|(_, duty)| moves(duty)).count()
+    };
+    // The last one can do none of them: it keeps nobody else from its share.
+    (2..=nodes).for_each(|n| table.apply(open(n, 1), &all).expect("room"));
+    assert_eq!(wished(&table), 8);
+    loop {
+        let unable: Vec<Grant> = table.grants(nodes).expect("it lives").grants;
+        if unable.is_empty() && wished(&table) == 0 {
+            break;
+        }
+        for Grant { duty, number, .. } in unable {
+            let release = Deed::Release { session: nodes, duty, number, state: Vec::new(), unable: true };
+            table.apply(release, &all).expect("it is held");
+        }
+        hand_on(&mut table);
+    }
+    let loads = loads(&table);
+    let share = duties / nodes as usize;
+    assert!(loads.iter().all(|(id, load)| *id == nodes || (share..=share + 1).contains(load)), "{loads:?}");
+}
+
 /// Hands on whatever is to be handed on, and says how much that was.
 fn hand_on(table: &mut Table) -> usize {
     let mut moved = 0;
@@ -99,10 +127,17 @@
 #[rstest]
 fn a_thousand_histories_break_no_promise() {
     let count = std::env::var("COUNT").ok().and_then(|count| count.parse().ok()).unwrap_or(1000);
-    for seed in 0..count {
-        let broken = history(seed, None);
-        assert!(broken.is_empty(), "seed {seed}: {broken:?}");
-    }
+    let threads = std::thread::available_parallelism().map_or(1, usize::from) as u64;
+    std::thread::scope(|scope| {
+        for thread in 0..threads {
+            scope.spawn(move || {
+                for seed in (0..count).filter(|seed| seed % threads == thread) {
+                    let broken = history(seed, None);
+                    assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+                }
+            });
+        }
+    });
 }
 
 #[rstest]
@@ -327,7 +362,10 @@
         }
         let spread = |table: &Table, weights: &BTreeMap<u64, u8>| {
             let whole: usize = weights.values().map(|weight| usize::from(*weight)).sum();
-            loads(table).iter().all(|(id, load)| *load <= (duties * usize::from(weights[id])).div_ceil(whole) + 1)
+            loads(table).iter().all(|(id, load)| {
+                let share = duties * usize::from(weights[id]);
+                (share / whole..=share.div_ceil(whole)).contains(load)
+            })
         };
         let mut weights: BTreeMap<u64, u8> =
             weights.iter().enumerate().map(|(n, weight)| (n as u64 + 1, *weight)).collect();
--- a/tests/rig/duties.rs
+++ b/tests/rig/duties.rs
@@ -202,6 +202,21 @@
 impl World {
     /// So many nodes and duties, without any fault yet.
     pub fn new(seed: u64, nodes: usize, duties: usize, plant: Option<Plant>) -> Self {
+        let mut world = Self::empty(seed, nodes, duties, plant);
+        (0..nodes).for_each(|n| world.begin(n));
+        world
+    }
+
+    /// The same with one node that was alone when the duties were declared, and the others some time later.
+    pub fn of_one(seed: u64, nodes: usize, duties: usize) -> Self {
+        let mut world = Self::empty(seed, nodes, duties, None);
+        world.begin(0);
+        world.run_for(5000);
+        (1..nodes).for_each(|n| world.begin(n));
+        world
+    }
+
+    fn empty(seed: u64, nodes: usize, duties: usize, plant: Option<Plant>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let names: Vec<DutyName> =
             (0..duties).map(|n| DutyName::new(format!("d{n}")).expect("a name")).collect();
@@ -248,7 +263,6 @@
         };
         world.commit(Deed::Declare(names.into_iter().collect())).expect("room");
         (0..MEMBERS).for_each(|member| world.at(50, Event::Look { member }));
-        (0..nodes).for_each(|n| world.begin(n));
         world
     }
 
@@ -506,7 +520,7 @@
             weight: 1,
             lease_ms: LEASE_MS,
             still_most: STILL,
-            fit,
+            fit: Fit::Cold,
         };
         let deed = if node.own.until_ms() == 0 { open } else { Deed::Renew { session, fit, work } };
         if draining && idle {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -12,8 +12,10 @@
 pub mod sim;
 pub mod target;
 
+use std::collections::HashMap;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
@@ -55,6 +57,8 @@
     program: PathBuf,
     net: (u8, u8),
     children: Vec<Option<Child>>,
+    /// Sockets that the platform holds for nodes which may be upgraded.
+    held: HashMap<usize, TcpListener>,
     /// More for the operator's table of each.
     pub more: String,
     /// The processors of nodes that serve.
@@ -82,7 +86,8 @@
             })
             .expect("free addresses");
         let children = (0..=most).map(|_| None).collect();
-        Self { relay, dir, program: program.to_owned(), net, children, more: String::new(), work: None }
+        let (program, held, more) = (program.to_owned(), HashMap::new(), String::new());
+        Self { relay, dir, program, net, children, held, more, work: None }
     }
 
     /// Where a process listens, with nothing between.
@@ -134,6 +139,29 @@
         self.spawn_named(n, name, "");
     }
 
+    /// Holds a node's socket, so that a process of it can take over from another.
+    pub fn hold(&mut self, n: usize) {
+        let socket = TcpListener::bind((Ipv4Addr::new(127, self.net.0, self.net.1, n as u8), 0));
+        self.held.insert(n, socket.expect("a port"));
+    }
+
+    /// Starts another process of a node under a number that is free, waits until it is there, and tells the one before
+    /// to go.
+    pub fn upgrade(&mut self, n: usize, by: usize) {
+        let socket = self.held[&n].try_clone().expect("a handle");
+        self.held.insert(by, socket);
+        let operator = fs::read_to_string(self.dir.join(format!("operator-{n}.toml"))).expect("a file");
+        self.start_named(by, &format!("n{n}"), &operator);
+        self.logged(n, "the next process is there");
+        self.signal(n, "-TERM");
+    }
+
+    /// Waits until a process that was told to go has gone.
+    pub fn left(&mut self, n: usize) {
+        let mut child = self.children[n].take().expect("it runs");
+        until("it goes", PATIENCE, || child.try_wait().expect("a child").is_some());
+    }
+
     fn spawn(&mut self, n: usize, first: &str) {
         self.spawn_named(n, &format!("n{n}"), first);
     }
@@ -158,14 +186,22 @@
         let path = self.dir.join(format!("config-{n}.json"));
         fs::write(&path, file.to_string()).expect("a file");
         let log = fs::OpenOptions::new().create(true).append(true).open(self.log_path(n)).expect("a file");
-        let child = Command::new("sh")
-            .args(["-c", &format!("{first} exec \"$0\""), &self.program.display().to_string()])
+        let mut shell = Command::new("sh");
+        let (handed, stdin) = match self.held.get(&n) {
+            Some(socket) => {
+                shell.env("PROXY_FD", "4");
+                ("4<&0 </dev/null", OwnedFd::from(socket.try_clone().expect("a handle")).into())
+            }
+            None => ("", Stdio::null()),
+        };
+        let child = shell
+            .args(["-c", &format!("{first} exec \"$0\" {handed}"), &self.program.display().to_string()])
             .env("PROXY_CONFIG", path)
             .env("SILLFLOW_OPERATOR", self.dir.join(format!("operator-{n}.toml")))
             .env("TMPDIR", &self.dir)
             .env_remove("PROXY_NAME")
             .env_remove("PROXY_LISTEN")
-            .stdin(Stdio::null())
+            .stdin(stdin)
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
--- a/tests/rig/target.rs
+++ b/tests/rig/target.rs
@@ -1,6 +1,6 @@
 //! A stand-in for who takes the effects of duties: it guards itself, and notes all that comes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 use sillflow::duty::beat::{Beat, Reply};
-use sillflow::duty::{Guard, Stale};
+use sillflow::duty::{DutyName, Fence, Guard, Stale};
 
 use super::duties::Seen;
+use super::fleet::STORE;
 use super::{PATIENCE, Rig, until};
 
 /// The lease of nodes on the rig, in ms.
@@ -28,17 +29,17 @@
 pub struct Target {
     inside: Arc<Mutex<Inside>>,
     began: Instant,
-    path: PathBuf,
+    path: Option<PathBuf>,
 }
 
 impl Target {
-    /// Listens there, and keeps its numbers in this file.
-    pub fn start(address: &str, path: &Path) -> Self {
+    /// Listens there, and keeps its numbers in this file, if there is to be one.
+    pub fn start(address: &str, path: Option<&Path>) -> Self {
         let listener = TcpListener::bind(address).expect("an address");
-        let guard = Guard::open(path).expect("a guard");
+        let guard = path.map_or_else(Guard::new, |path| Guard::open(path).expect("a guard"));
         let inside = Inside { guard, beats: Vec::new(), muted: BTreeSet::new() };
         let inside = Arc::new(Mutex::new(inside));
-        let target = Self { inside, began: Instant::now(), path: path.to_owned() };
+        let target = Self { inside, began: Instant::now(), path: path.map(Path::to_owned) };
         let served = target.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -78,9 +79,16 @@
         self.began.elapsed().as_millis() as u64
     }
 
+    /// It has seen this number of a duty, as one has that outlived a store which was restored from a backup.
+    pub fn saw(&self, duty: &str, number: u64) {
+        let fence = Fence { duty: DutyName::new(duty).expect("a name"), number };
+        self.inside.lock().expect("a lock").guard.admit(&fence).expect("it is higher");
+    }
+
     /// Starts it again, with what it kept.
     pub fn restart(&self) {
-        self.inside.lock().expect("a lock").guard = Guard::open(&self.path).expect("it was kept");
+        let path = self.path.as_deref().expect("it keeps what it saw");
+        self.inside.lock().expect("a lock").guard = Guard::open(path).expect("it was kept");
     }
 
     /// Whoever this is gets no answer, or does again.
@@ -98,6 +106,13 @@
         self.inside.lock().expect("a lock").beats.clone()
     }
 
+    /// The duties that were acted under so far.
+    pub fn acted(&self) -> BTreeSet<String> {
+        let inside = self.inside.lock().expect("a lock");
+        let taken = inside.beats.iter().filter(|(_, _, taken)| *taken);
+        taken.map(|(_, beat, _)| beat.fence.duty.as_str().to_owned()).collect()
+    }
+
     /// The last beat of a duty that was taken.
     pub fn last(&self, duty: &str) -> Option<(u64, Beat)> {
         let inside = self.inside.lock().expect("a lock");
@@ -142,29 +157,61 @@
 
 impl Rig {
     /// A fleet of so many whose duties beat at a target, which has the number after theirs. It is returned when each duty
-    /// was acted under.
+    /// was acted under, and all have a session.
     pub fn dutiful(count: usize, duties: &[&str]) -> (Self, Target) {
-        let mut rig = Self::new(count + 1);
-        let target = Target::start(&rig.address(count + 1), &rig.dir.join("guard"));
+        let duties: Vec<String> = duties.iter().map(|duty| (*duty).to_owned()).collect();
+        let table = format!("lease_ms = {LEASE_MS}\nstill = 8\ncold_ms = 0\n");
+        Self::with_duties(count, &duties, &table, 20, true)
+    }
+
+    /// The same with such a table and so much time between two beats; the target keeps what it has seen, or does not.
+    pub fn with_duties(
+        count: usize,
+        duties: &[String],
+        table: &str,
+        every_ms: u64,
+        kept: bool,
+    ) -> (Self, Target) {
+        // One more, for another process of a node.
+        let mut rig = Self::new(count + 2);
+        let path = rig.dir.join("guard");
+        let target = Target::start(&rig.address(count + 1), kept.then_some(path.as_path()));
         let address = rig.relayed(count + 1);
-        let mut table = format!("[duties]\nlease_ms = {LEASE_MS}\nstill = 8\ncold_ms = 0\n");
+        let mut table = format!("[duties]\n{table}");
         for duty in duties {
-            table += &format!("[[duties.beats]]\nname = {duty:?}\naddress = {address:?}\nevery_ms = 20\n");
+            table +=
+                &format!("[[duties.beats]]\nname = {duty:?}\naddress = {address:?}\nevery_ms = {every_ms}\n");
         }
         for n in 1..=count {
             let file = rig.fleet_table(n, n % 3) + &table;
+            rig.hold(n);
             rig.start_with(n, &file, "");
+            if n == STORE {
+                rig.led(&(1..=STORE).collect::<Vec<_>>());
+            }
         }
-        until("each duty is acted under", PATIENCE * 2, || {
-            duties.iter().all(|duty| target.last(duty).is_some())
-        });
-        let all: Vec<usize> = (1..=count).collect();
-        until("all have a session", PATIENCE * 2, || {
-            all.iter().all(|n| {
-                let duties = rig.seen(*n).and_then(|seen| seen.duties);
-                duties.is_some_and(|duties| duties.session.is_some())
-            })
+        until("each duty is acted under", PATIENCE * 4, || {
+            let acted = target.acted();
+            duties.iter().all(|duty| acted.contains(duty.as_str()))
         });
+        (1..=count).for_each(|n| rig.in_session(n));
         (rig, target)
     }
+
+    /// Waits until a node has a session.
+    pub fn in_session(&self, n: usize) {
+        until("it has a session", PATIENCE * 4, || {
+            let duties = self.seen(n).and_then(|seen| seen.duties);
+            duties.is_some_and(|duties| duties.session.is_some())
+        });
+    }
+
+    /// Which node holds each duty, as the nodes say.
+    pub fn held(&self, these: &[usize]) -> BTreeMap<String, usize> {
+        let of = |n: &usize| {
+            let duties = self.seen(*n).and_then(|seen| seen.duties).unwrap_or_default();
+            duties.held.into_iter().map(|shown| (shown.duty.as_str().to_owned(), *n)).collect::<Vec<_>>()
+        };
+        these.iter().flat_map(of).collect()
+    }
 }
