--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod fault;
 mod operator;
+mod partners;
 mod renew;
 mod routes;
 mod settings;
@@ -25,6 +26,7 @@
 pub use duties::{BeatTable, DutiesTable};
 pub use fault::Fault;
 pub use operator::{Ajp, FleetTable, Operator, Peer, StoreOptions};
+pub use partners::{AggregateTable, GrantTable, OwnRoute, PartnersTable, SiteTable};
 pub use routes::{KnowledgeTable, RecordsTable};
 pub use settings::{Pairs, Site, gauges, parse};
 
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -11,6 +11,7 @@
 use super::copies::CopiesTable;
 use super::duties::DutiesTable;
 use super::fault::Fault;
+use super::partners::PartnersTable;
 use super::routes::{KnowledgeTable, RecordsTable};
 use crate::fleet::view::MOST_NAME;
 
@@ -34,6 +35,8 @@
     pub copies: Option<CopiesTable>,
     /// The node's part in duties that one node does at a time; absent where it takes none.
     pub duties: Option<DutiesTable>,
+    /// Partner sites whose routes are merged with this one's; absent where there are none.
+    pub partners: Option<PartnersTable>,
 }
 
 /// The node's part in a fleet of nodes that know each other.
@@ -219,6 +222,9 @@
         if let Some(duties) = &self.duties {
             duties.check(self.fleet.is_some(), &mut faults);
         }
+        if let Some(partners) = &self.partners {
+            partners.check(self.fleet.is_some(), self.duties.is_some(), &mut faults);
+        }
         faults
     }
 
@@ -238,6 +244,7 @@
             fleet: read_alone::<FleetAlone>(text, "fleet", &mut faults).fleet,
             copies: read_alone::<CopiesAlone>(text, "copies", &mut faults).copies,
             duties: read_alone::<DutiesAlone>(text, "duties", &mut faults).duties,
+            partners: read_alone::<PartnersAlone>(text, "partners", &mut faults).partners,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
         faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
@@ -252,7 +259,7 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 7] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties"];
+const TABLES: [&str; 8] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "partners"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -285,6 +292,11 @@
     duties: Option<DutiesTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct PartnersAlone {
+    partners: Option<PartnersTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct KnowledgeAlone {
     #[serde(default)]
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -95,6 +95,8 @@
     pub copies: Option<Part>,
     /// Its part in the duties, where it has one.
     pub duties: Option<Ends>,
+    /// Its part in partners' routes, where it has one.
+    pub partners: Option<watch::Receiver<crate::partners::live::Report>>,
     /// Whether this process is the node's only one: until it is, it follows the fleet and does not belong.
     pub alone: watch::Receiver<bool>,
 }
@@ -118,7 +120,7 @@
 }
 
 async fn serve(options: Options, shown: watch::Sender<View>) -> Result<(), FleetError> {
-    let Options { name, table, copies, duties, mut alone } = options;
+    let Options { name, table, copies, duties, partners, mut alone } = options;
     let number = Rc::new(Cell::new(0));
     let (heard, hears) = mpsc::channel(4);
     let (asked, questions) = mpsc::channel(CONNECTIONS);
@@ -147,6 +149,7 @@
     let mut daemon = Daemon {
         copying: copies.map(|part| Copying::new(part, store.clone(), rng().random())),
         duties,
+        partners,
         keeps,
         leaving: None,
         name,
@@ -388,6 +391,7 @@
     asked_peers: Option<Instant>,
     copying: Option<Copying>,
     duties: Option<Ends>,
+    partners: Option<watch::Receiver<crate::partners::live::Report>>,
     keeps: watch::Sender<Kept>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
@@ -747,6 +751,7 @@
             bytes_sent: self.bytes_sent,
             nodes: self.view.nodes().map(line).collect(),
             duties: self.duties.as_ref().map(|duties| duties.shown.borrow().clone()),
+            partners: self.partners.as_ref().map(|partners| partners.borrow().clone()),
         }
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -211,6 +211,9 @@
     /// Its part in the duties, where it has one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub duties: Option<crate::duty::hold::Report>,
+    /// Its part in partners' routes, where it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub partners: Option<crate::partners::live::Report>,
 }
 
 /// Why a node cannot be asked.
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{error, info, warn};
@@ -18,7 +19,7 @@
 use crate::config::{Config, ConfigError, CopiesTable, Peers, RecordsTable};
 use crate::copies::News;
 use crate::copies::slots::Terms;
-use crate::duty::{beat, hold};
+use crate::duty::{DutyName, beat, hold};
 use crate::exchange::{self, Copying, Handle, Input};
 use crate::fleet;
 use crate::fleet::copying::Part;
@@ -27,6 +28,8 @@
 use crate::handover::{self, Successor};
 use crate::inherit;
 use crate::interface::{RequestId, SettingsError};
+use crate::partners::live;
+use crate::partners::lookup::InForce;
 use crate::peers::{Routes, Teller, learn};
 use crate::store::{self, Contents};
 
@@ -92,15 +95,23 @@
     if let Some(table) = config.operator.fleet.clone() {
         let part = copies.part.take();
         let (keeper, ends) = config.operator.duties.as_ref().map(|_| hold::part()).unzip();
+        let (show, shown) =
+            config.operator.partners.as_ref().map(|_| watch::channel(Default::default())).unzip();
+        // What the merge of partners' routes puts in force.
+        let in_force = Arc::new(InForce::default());
         let options = fleet::daemon::Options {
             name: config.name.clone(),
             table,
             copies: part,
             duties: ends.clone(),
+            partners: shown,
             alone: is_alone.clone(),
         };
         match fleet::daemon::start(options) {
-            Ok(view) => begin_duties(&config, keeper, view, is_alone),
+            Ok(view) => {
+                let partners = begin_partners(&config, show, &view, &is_alone, in_force);
+                begin_duties(&config, keeper, view, is_alone, partners);
+            }
             Err(problem) => error!("this node has no part in the fleet: {problem}"),
         }
         duties = ends;
@@ -146,12 +157,36 @@
     Ok(())
 }
 
+/// Begins the node's part in partners' routes, where the operator's file has one. What is returned is its duty, and where
+/// that is given to it.
+fn begin_partners(
+    config: &Config,
+    shown: Option<watch::Sender<live::Report>>,
+    view: &watch::Receiver<View>,
+    alone: &watch::Receiver<bool>,
+    in_force: Arc<InForce>,
+) -> Option<(DutyName, oneshot::Sender<mpsc::Receiver<hold::Held>>)> {
+    let (table, shown) = config.operator.partners.clone().zip(shown)?;
+    let duty = DutyName::new(table.duty.clone()).ok()?;
+    let from = config.operator.fleet.as_ref()?.listen.ip();
+    let (give, given) = oneshot::channel();
+    let (name, view, alone) = (config.name.clone(), view.clone(), alone.clone());
+    match live::start(live::Options { name, table, from, view, alone, given, in_force, shown }) {
+        Ok(()) => Some((duty, give)),
+        Err(problem) => {
+            error!("this node has no part in partners' routes: {problem}");
+            None
+        }
+    }
+}
+
 /// Begins the node's part in the duties, where the operator's file has one.
 fn begin_duties(
     config: &Config,
     part: Option<hold::Part>,
     view: watch::Receiver<View>,
     alone: watch::Receiver<bool>,
+    partners: Option<(DutyName, oneshot::Sender<mpsc::Receiver<hold::Held>>)>,
 ) {
     let (Some(part), Some(table), Some(fleet)) =
         (part, config.operator.duties.clone(), config.operator.fleet.clone())
@@ -168,7 +203,14 @@
         from: fleet.listen.ip(),
     };
     let name = config.name.clone();
-    let beats = move || beat::all(&table.beats, &name, fleet.listen.ip());
+    let beats = move || {
+        let mut registry = beat::all(&table.beats, &name, fleet.listen.ip());
+        if let Some((duty, give)) = partners {
+            // Where nobody is there to hold it, it is given back.
+            let _ = give.send(registry.register(duty));
+        }
+        registry
+    };
     if let Err(problem) = hold::start(options, part, view, alone, beats) {
         error!("this node takes no duties: {problem}");
     }
--- a/src/partners/admit.rs
+++ b/src/partners/admit.rs
@@ -230,7 +230,7 @@
     }
 
     /// Heeds what a document that was turned down makes tighter, and has the partner asked for all of its table.
-    fn turned_down(&mut self, refused: &Refused, now: u64) -> Vec<Change> {
+    pub fn turned_down(&mut self, refused: &Refused, now: u64) -> Vec<Change> {
         self.lost(now);
         self.asks_whole = true;
         let mut changes = Vec::new();
--- a/src/partners/mod.rs
+++ b/src/partners/mod.rs
@@ -1,15 +1,22 @@
 //! Routes of partner sites, merged with the fleet's own, and told on to those that may have them. What is promised, and why
 //! it holds, is in `docs/design-partners.md`.
 //!
-//! Nothing here does I/O. Time is an argument, in ms: of the process's own clock, or, for the end of a route, which sites
-//! have to agree on, since 1970 (UTC).
+//! What is decided does no I/O. Time is an argument there, in ms: of the process's own clock, or, for the end of a route,
+//! which sites have to agree on, since 1970 (UTC). The tasks between sites are in `live`, `publish`, `fetch` and `keep`.
 
 pub mod admit;
+pub mod asking;
+pub mod board;
 pub mod export;
+pub mod fetch;
+pub mod keep;
+pub mod lead;
+pub mod live;
 pub mod lookup;
 pub mod merge;
 #[doc(hidden)]
 pub mod planted;
+pub mod publish;
 pub mod restrict;
 pub mod route;
 pub mod table;
--- a/src/partners/planted.rs
+++ b/src/partners/planted.rs
@@ -19,6 +19,14 @@
     LoopIsTold,
     /// A route that is to be part of no wider one is.
     UnmergedIsMerged,
+    /// A node takes what is told under a lower number.
+    LowerIsTaken,
+    /// The next holder tells what it was left with, before its partners have said it again.
+    ToldUnheard,
+    /// Whoever held the duty last answers partners for ever.
+    AnswersUnheld,
+    /// What was tightened in a document that was turned down is let go.
+    RefusedForgotten,
 }
 
 thread_local! {
@@ -33,3 +41,21 @@
 pub(super) fn is(planted: Planted) -> bool {
     cfg!(debug_assertions) && NOW.get() == Some(planted)
 }
+
+/// Plants the error that the environment names, for processes that a test starts.
+pub fn plant_from_env() {
+    if cfg!(debug_assertions) {
+        let named = std::env::var("SILLFLOW_PLANTED").unwrap_or_default();
+        let of_processes = [
+            Planted::StaleForEver,
+            Planted::WithdrawalWaits,
+            Planted::LoopIsTold,
+            Planted::NotDecreased,
+            Planted::LowerIsTaken,
+            Planted::ToldUnheard,
+            Planted::AnswersUnheld,
+            Planted::RefusedForgotten,
+        ];
+        plant(of_processes.into_iter().find(|planted| format!("{planted:?}") == named));
+    }
+}
--- a/src/partners/route.rs
+++ b/src/partners/route.rs
@@ -179,7 +179,7 @@
 }
 
 /// A route, as the site that holds it has it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 pub struct Route {
     /// Its name in the table of the site that tells it.
     pub name: Name,
--- a/src/partners/table.rs
+++ b/src/partners/table.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Whether the partner may tell a route that has been read.
+    pub fn admits(&self, route: &Route) -> bool {
+        self.wrong(route).is_none()
+    }
+
     /// The first field of a route that is out of its range.
     fn wrong(&self, route: &Route) -> Option<(&'static str, String)> {
         let Route { matches, servers, capacity, path, through, restrictions, .. } = route;
--- a/tests/rig/relay.rs
+++ b/tests/rig/relay.rs
@@ -39,6 +39,13 @@
 /// The port that datagrams go to, on both sides.
 pub const DATAGRAMS: u16 = 7071;
 
+/// The port of partners and of who follows the merged table.
+pub const PARTNERS: u16 = 7072;
+
+fn whole_ip(listener: &StdListener) -> IpAddr {
+    listener.local_addr().expect("an address").ip()
+}
+
 /// The relay, on a thread of its own.
 pub struct Relay {
     links: Arc<watch::Sender<Links>>,
@@ -78,6 +85,9 @@
                     let whole = SocketAddr::new(listener.local_addr().expect("an address").ip(), DATAGRAMS);
                     let whole = TcpListener::bind(whole).await.expect("a listener");
                     tokio::spawn(accept(n, whole, SocketAddrV4::new(*to.ip(), DATAGRAMS), shared.clone()));
+                    let partners = SocketAddr::new(whole_ip(&listener), PARTNERS);
+                    let partners = TcpListener::bind(partners).await.expect("a listener");
+                    tokio::spawn(accept(n, partners, SocketAddrV4::new(*to.ip(), PARTNERS), shared.clone()));
                     let at = SocketAddr::new(listener.local_addr().expect("an address").ip(), DATAGRAMS);
                     let listener = TcpListener::from_std(listener).expect("a listener");
                     tokio::spawn(accept(n, listener, to, shared.clone()));
