--- a/src/partners/lead.rs
+++ b/src/partners/lead.rs
@@ -32,6 +32,8 @@
     partners: BTreeMap<Name, Partner>,
     /// Partners that have told this holder their table. Those of others are used here, and told to nobody.
     heard: BTreeSet<Name>,
+    /// When each was heard last.
+    last: BTreeMap<Name, u64>,
     exports: Exports,
 }
 
@@ -83,7 +85,15 @@
         let own = rules.own.clone();
         let mut exports = Exports::new(rules, terms.keys().cloned(), number);
         exports.changed(board.merged(), &all, now.utc);
-        let mut leading = Self { own, number, began: now.own, partners, heard: BTreeSet::new(), exports };
+        let mut leading = Self {
+            own,
+            number,
+            began: now.own,
+            partners,
+            heard: BTreeSet::new(),
+            last: BTreeMap::new(),
+            exports,
+        };
         leading.stand(board, now);
         Ok(leading)
     }
@@ -119,6 +129,9 @@
     ) -> Option<Fault> {
         let partner = self.partners.get_mut(from)?;
         let taken = read.and_then(|document| partner.take(&document, now.own));
+        if taken.is_ok() {
+            self.last.insert(from.clone(), now.own);
+        }
         let (changes, fault) = match taken {
             Ok(taken) if self.heard.contains(from) => (taken.changes, None),
             // All that was withheld is this holder's now.
@@ -145,14 +158,16 @@
     pub fn heard(&mut self, board: &mut Board, from: &Name, number: u64, now: Now) {
         if let Some(partner) = self.partners.get_mut(from).filter(|partner| partner.seen().term <= number) {
             partner.heard();
+            self.last.insert(from.clone(), now.own);
         }
         self.stand(board, now);
     }
 
-    /// A partner cannot be reached, or ends what it sends half way.
+    /// A partner does not answer at one of its addresses, or ends what it sends half way. Its table is stale from when it
+    /// was heard last: to find that out takes longer the more addresses it has.
     pub fn lost(&mut self, board: &mut Board, from: &Name, now: Now) {
         if let Some(partner) = self.partners.get_mut(from) {
-            partner.lost(now.own);
+            partner.lost(self.last.get(from).copied().unwrap_or(now.own));
         }
         self.stand(board, now);
     }
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -48,7 +48,7 @@
 /// Time between two documents of one partner: one that sends many costs the others no more.
 const BETWEEN: Duration = Duration::from_millis(10);
 /// Time until a partner that was turned down is asked again.
-const REFUSED: Duration = Duration::from_secs(1);
+const REFUSED: Duration = Duration::from_millis(500);
 /// How often it is shown how the node stands, in ms.
 const SHOW_MS: u64 = 300;
 /// Nodes that are asked in one round for the holder.
@@ -502,7 +502,7 @@
             asking.spawn_local(ask_partner(site.clone(), partner.clone()));
         }
         let wished = tokio::select! {
-            lost = held.lost() => {
+            lost = held.lost(), if !planted::is(Planted::AnswersUnheld) => {
                 info!("partners: {lost}");
                 false
             }
@@ -592,11 +592,11 @@
                 debug!("partners: {name} at {address}: {problem}");
                 at += 1;
                 failed += 1;
+                site.lead(|leading, board, now| leading.lost(board, name, now));
                 let too_long = matches!(problem, Failed::TooLong { .. });
                 if too_long || failed >= table.addresses.len() {
                     failed = 0;
                     rounds += 1;
-                    site.lead(|leading, board, now| leading.lost(board, name, now));
                     said(&site, name, Some(unheard(&table, address, &problem)));
                     if too_long { sleep(REFUSED).await } else { pause(rounds).await }
                 }
--- a/tests/partners.rs
+++ b/tests/partners.rs
@@ -12,8 +12,13 @@
 
 use rig::{PATIENCE, until};
 use rstest::rstest;
+use serde_json::json;
+use sillflow::partners::asking::{Feed, Told};
+use sillflow::partners::board::{Board, NotTaken};
+use sillflow::partners::planted::{Planted, plant};
 use sillflow::partners::restrict::{Audience, Restriction};
-use sites::{FIRST_MS, FOLLOWED_MS, Fleet, Mode, STALE_MS, Stand, World};
+use sillflow::partners::table::Version;
+use sites::{Between, Broken, FIRST_MS, FOLLOWED_MS, Fleet, Mode, STALE_MS, Stand, World};
 use slow::name;
 
 fn only(site: &str) -> Restriction {
@@ -51,7 +56,9 @@
     }
     assert!(!b.has("f1", 3) && !b.has("f1", 50) && !c.has("f1", 2) && a.servers("f1").is_empty());
     fleet.level();
-    assert!((1..=3).all(|n| fleet.report(n).is_some_and(|report| report.routes == 5)));
+    until("every node has all", PATIENCE, || {
+        (1..=3).all(|n| fleet.report(n).is_some_and(|report| report.routes == 5))
+    });
     // Tightened and withdrawn, both are gone in time.
     a.announce(1, &[only("c")]);
     a.withdraw(4);
@@ -60,3 +67,516 @@
     assert!(c.has("f1", 1) && !b.has("f1", 4));
     assert_eq!(world.judge(FIRST_MS), []);
 }
+
+fn gets_all(stand: &Stand, routes: impl IntoIterator<Item = u16>) {
+    for n in routes {
+        stand.gets("f1", n);
+    }
+}
+
+/// Waits until a stand-in has the new number of a site.
+fn told_under(world: &World, stand: &Stand, number: u64) {
+    until("it is told under a higher number", PATIENCE, || {
+        let history = world.history();
+        let mut got = history.got.iter().filter(|got| got.by == stand.name);
+        got.any(|got| got.document["version"]["term"].as_u64() > Some(number))
+    });
+}
+
+#[rstest]
+fn the_holder_is_stopped_while_a_partner_tightens_a_restriction() {
+    let (world, fleet, stands) = with_stands(&["a", "b", "c"], "");
+    let [a, b, c] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2, 3], &[]);
+    c.announce(4, &[]);
+    gets_all(b, 1..=4);
+    fleet.level();
+    let (n, number) = fleet.held(0);
+    fleet.rig.signal(n, "-STOP");
+    a.announce(1, &[only("c")]);
+    a.withdraw(2);
+    b.loses("f1", 1);
+    b.loses("f1", 2);
+    c.loses("f1", 2);
+    told_under(&world, c, number);
+    assert!(b.has("f1", 3) && b.has("f1", 4) && c.has("f1", 1));
+    fleet.rig.signal(n, "-CONT");
+    // It is asked as it was before, by one that knows no number.
+    until("it turns partners away", PATIENCE, || {
+        let answer = sites::ask(&fleet.address(n), "b", None);
+        answer.is_some_and(|(status, _)| status == 421)
+    });
+    a.announce(5, &[]);
+    b.gets("f1", 5);
+    fleet.level();
+    assert_eq!(world.judge(FOLLOWED_MS), []);
+}
+
+#[rstest]
+fn a_holder_that_drains_hands_on_and_nothing_is_withdrawn_in_between() {
+    let (world, fleet, stands) = with_stands(&["a", "b"], "");
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2, 3], &[]);
+    gets_all(b, 1..=3);
+    fleet.level();
+    let (n, number) = fleet.held(0);
+    fleet.rig.signal(n, "-TERM");
+    told_under(&world, b, number);
+    a.announce(4, &[]);
+    b.gets("f1", 4);
+    let history = world.history();
+    let later = history
+        .got
+        .iter()
+        .filter(|got| got.by == "b" && got.document["version"]["term"].as_u64() > Some(number));
+    assert!(later.clone().next().is_some_and(|got| got.document["count"].as_u64() >= Some(3)));
+    assert_eq!(world.judge(FOLLOWED_MS), []);
+}
+
+#[rstest]
+#[case::dies_half_way(Mode::Half, "answer")]
+#[case::half_a_table(Mode::Cut, "line 1")]
+#[case::garbage(Mode::Garbage, "line 1")]
+#[case::comes_back_with_an_older_one(Mode::Older, "version")]
+#[case::a_hundred_megabytes(Mode::Huge, "bytes")]
+#[case::a_hundred_megabytes_unsaid(Mode::Endless, "bytes")]
+#[case::a_route_without_servers(Mode::Fieldless, "servers")]
+#[case::a_loop(Mode::Looped, "path")]
+#[case::dead(Mode::Dead, "answer")]
+fn a_partner_in_trouble_keeps_its_last_good_table_for_a_while_and_costs_others_nothing(
+    #[case] mode: Mode,
+    #[case] field: &str,
+) {
+    let (world, fleet, stands) = with_stands(&["a", "b", "c"], "");
+    let [a, b, c] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    b.gets("f1", 1);
+    b.gets("f1", 2);
+    a.mode(mode);
+    a.announce(3, &[]);
+    until("it is said why", PATIENCE, || {
+        fleet.refused("a").is_some_and(|why| why.contains("partner a") && why.contains(field))
+    });
+    // Another one is told as before, while the bad one's routes are there still.
+    c.announce(9, &[]);
+    let took = b.gets("f1", 9);
+    assert!(took < Duration::from_millis(FIRST_MS), "{took:?}");
+    assert!(b.has("f1", 1) && b.has("f1", 2) && !b.has("f1", 3));
+    let stale = b.loses("f1", 1) + b.loses("f1", 2);
+    assert!(stale < Duration::from_millis(STALE_MS + 2 * FIRST_MS), "{stale:?}");
+    assert!(a.sent() < 16 << 20, "{} bytes were read", a.sent());
+    a.mode(Mode::Well);
+    gets_all(b, 1..=3);
+    assert_eq!(world.judge(FIRST_MS), []);
+}
+
+#[rstest]
+fn one_that_flaps_ten_times_a_second_costs_the_others_nothing() {
+    let (world, fleet, stands) = with_stands(&["a", "b", "c"], "");
+    let [a, b, c] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    gets_all(b, [1, 2]);
+    let told = |route: u16| {
+        let server = sites::route(route, None, &[]).0;
+        let of = |got: &&sites::Got| got.by == "b" && got.document.to_string().contains(&server);
+        world.history().got.iter().filter(of).count()
+    };
+    let before = told(1);
+    for n in 0..40 {
+        if n % 2 == 0 {
+            a.withdraw(1)
+        } else {
+            a.announce(1, &[])
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        if n % 10 == 5 {
+            c.announce(20 + n, &[]);
+            let took = b.gets("f1", 20 + n);
+            assert!(took < Duration::from_millis(FIRST_MS), "{took:?}");
+        }
+    }
+    // Forty changes are told as few; the other route of the table stays.
+    let flaps = told(1) - before;
+    assert!(flaps <= 4, "{flaps}");
+    assert!(b.has("f1", 2));
+    assert_eq!(fleet.refused("a"), None);
+    assert_eq!(world.judge(FIRST_MS), []);
+}
+
+#[rstest]
+fn one_that_withdraws_all_at_once_is_told_to_nobody_and_used_for_a_while() {
+    let (world, fleet, stands) = with_stands(&["a", "b"], "");
+    let [a, b] = &stands[..] else { unreachable!() };
+    let all: Vec<u16> = (1..=10).collect();
+    a.announce_all(&all, &[]);
+    gets_all(b, all.clone());
+    fleet.level();
+    let (n, _) = fleet.held(0);
+    a.withdraw_all(&all);
+    for n in all {
+        b.loses("f1", n);
+    }
+    assert_eq!(fleet.routes(n, "a"), 10, "they are used here for a while");
+    until("they are over", PATIENCE, || fleet.routes(n, "a") == 0);
+    assert_eq!(world.judge(FIRST_MS), []);
+}
+
+/// Two fleets that are each other's partners, and stand-ins that are partners of both.
+fn two_fleets(names: &[&str]) -> (World, [Fleet; 2], Vec<Stand>, Between) {
+    let world = World::new();
+    let mut fleets = [Fleet::new(&world, "f1", 3), Fleet::new(&world, "f2", 3)];
+    let stands: Vec<Stand> = names.iter().map(|name| Stand::start(&world, name)).collect();
+    let between = Between::start([&fleets[0], &fleets[1]]);
+    for n in 0..2 {
+        let mut partners: Vec<_> = stands.iter().map(Fleet::site_of).collect();
+        partners.push((["f2", "f1"][n], between.addresses(1 - n)));
+        fleets[n].start(&partners, "");
+    }
+    for fleet in &fleets {
+        fleet.held(0);
+    }
+    for stand in &stands {
+        stand.asks("f1", fleets[0].addresses());
+        stand.asks("f2", fleets[1].addresses());
+    }
+    (world, fleets, stands, between)
+}
+
+/// Held against what was announced, over up to so many sites on the way.
+fn lag(sites: u64) -> u64 {
+    sites * FIRST_MS + 500
+}
+
+#[rstest]
+fn two_fleets_that_are_each_others_partners_pass_on_what_they_may_and_nothing_else() {
+    let (world, fleets, stands, _between) = two_fleets(&["a", "b"]);
+    let [a, b] = &stands[..] else { unreachable!() };
+    fleets[0].announce(1, &[]);
+    fleets[0].announce(2, &[only("f2")]);
+    fleets[0].announce(3, &NOBODY);
+    fleets[0].announce(4, &[Restriction::Further { sites: 1 }]);
+    fleets[1].announce(5, &[]);
+    for stand in [a, b] {
+        until("all is told", PATIENCE, || {
+            stand.has("f2", 1) && stand.has("f1", 1) && stand.has("f1", 4) && stand.has("f1", 5)
+        });
+        assert!(![2, 3, 4].iter().any(|n| stand.has("f2", *n)) && !stand.has("f1", 2));
+    }
+    fleets[0].level();
+    fleets[1].level();
+    // From one site to the next and on to a third one.
+    fleets[0].announce(1, &[only("f2")]);
+    let took = a.loses("f2", 1) + b.loses("f2", 1) + b.loses("f1", 1);
+    assert!(took < Duration::from_millis(2 * FIRST_MS + 500), "{took:?}");
+    until("the other fleet has what it may have", PATIENCE, || fleets[1].routes(1, "f1") == 3);
+    fleets[1].withdraw(5);
+    a.loses("f1", 5);
+    assert_eq!(world.judge(lag(2)), []);
+}
+
+#[rstest]
+fn two_partners_that_pass_a_thirds_route_to_each_other_keep_nothing_of_it() {
+    let (world, _fleets, stands, _between) = two_fleets(&["a", "b"]);
+    let [a, b] = &stands[..] else { unreachable!() };
+    for n in 1..=3 {
+        a.announce(n, &[]);
+        b.gets("f1", n);
+        b.gets("f2", n);
+        // The same route over two ways, and each passes on the other's when its own is gone.
+        a.withdraw(n);
+        b.loses("f1", n);
+        b.loses("f2", n);
+    }
+    a.announce(4, &[]);
+    b.gets("f1", 4);
+    b.gets("f2", 4);
+    let gone = (1..=3).all(|n| !b.has("f1", n) && !b.has("f2", n));
+    assert!(gone && a.servers("f1").is_empty() && a.servers("f2").is_empty());
+    assert_eq!(world.judge(lag(2)), []);
+}
+
+#[rstest]
+fn both_fleets_under_partition_keep_each_others_tables_for_their_time_and_meet_again() {
+    let (world, fleets, stands, between) = two_fleets(&["b"]);
+    let b = &stands[0];
+    fleets[0].announce(1, &[]);
+    fleets[0].announce(2, &[]);
+    fleets[1].announce(5, &[]);
+    for n in [1, 2] {
+        b.gets("f2", n);
+    }
+    b.gets("f1", 5);
+    between.cut();
+    // What is tightened behind the cut is used for no longer than the table may be stale.
+    fleets[0].announce(1, &NOBODY);
+    b.loses("f1", 1);
+    let stale = b.loses("f2", 1) + b.loses("f1", 5);
+    assert!(stale < Duration::from_millis(STALE_MS + 2 * FIRST_MS), "{stale:?}");
+    between.heal();
+    b.gets("f2", 2);
+    b.gets("f1", 5);
+    assert!(!b.has("f2", 1));
+    assert_eq!(world.judge(STALE_MS + 4 * FIRST_MS), []);
+}
+
+#[rstest]
+fn power_is_lost_for_all_nodes_and_numbers_go_on_while_what_is_over_stays_out() {
+    let (world, mut fleet, stands) = with_stands(&["a", "b"], "");
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    gets_all(b, [1, 2]);
+    fleet.level();
+    let (_, number) = fleet.held(0);
+    // It is on the disk of each by then.
+    std::thread::sleep(Duration::from_millis(1200));
+    (1..=3).for_each(|n| fleet.rig.kill(n));
+    a.withdraw(1);
+    a.mode(Mode::Dead);
+    std::thread::sleep(Duration::from_millis(STALE_MS));
+    (1..=3).for_each(|n| fleet.rig.again(n));
+    let (n, next) = fleet.held(number);
+    assert!(next > number);
+    told_under(&world, b, number);
+    assert!(!b.has("f1", 1) && !b.has("f1", 2), "its time is over");
+    assert_eq!(fleet.routes(n, "a"), 0);
+    // A table below the one that was seen before is none.
+    a.mode(Mode::Older);
+    until("it is turned down", PATIENCE, || fleet.refused("a").is_some_and(|why| why.contains("version")));
+    a.mode(Mode::Well);
+    b.gets("f1", 2);
+    assert!(!b.has("f1", 1));
+    assert_eq!(world.judge(FOLLOWED_MS + STALE_MS), []);
+}
+
+#[rstest]
+fn a_node_that_cannot_hear_the_holder_keeps_the_table_for_its_time() {
+    let (world, fleet, stands) = with_stands(&["a"], "");
+    stands[0].announce(1, &[]);
+    fleet.announce(2, &[]);
+    fleet.level();
+    until("all have it", PATIENCE, || (1..=3).all(|n| fleet.routes(n, "a") == 1));
+    let (holder, number) = fleet.held(0);
+    let n = (1..=3).find(|n| *n != holder).expect("a follower");
+    for other in (1..=3).filter(|other| *other != n) {
+        fleet.rig.relay.both(n, other, |link| link.cut = true);
+    }
+    assert_eq!(fleet.routes(n, "a"), 1);
+    until("its time is over", PATIENCE, || fleet.routes(n, "a") == 0);
+    // What is this site's own has no such time; the others go on.
+    assert!(fleet.report(n).is_some_and(|report| report.routes == 1));
+    assert_eq!(fleet.routes(holder, "a"), 1);
+    fleet.rig.relay.heal();
+    until("it has it again", PATIENCE, || fleet.routes(n, "a") == 1);
+    assert!((1..=3).all(|n| fleet.report(n).is_some_and(|report| report.version.term >= number)));
+    assert_eq!(world.judge(FIRST_MS), []);
+}
+
+#[rstest]
+fn a_holder_that_is_cut_off_from_the_store_tells_partners_nothing_past_its_lease() {
+    let (world, fleet, stands) = with_stands(&["a", "b"], "");
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    gets_all(b, [1, 2]);
+    fleet.level();
+    let (n, number) = fleet.held(0);
+    // It reaches its partners as before, and they reach it.
+    for other in (1..=3).filter(|other| *other != n) {
+        fleet.rig.relay.both(n, other, |link| link.cut = true);
+    }
+    a.announce(1, &NOBODY);
+    b.loses("f1", 1);
+    told_under(&world, b, number);
+    // One that knows no number asks the old holder first.
+    let answer = sites::ask(&fleet.address(n), "b", None);
+    assert!(answer.as_ref().is_some_and(|(status, _)| *status == 421), "{answer:?}");
+    fleet.rig.relay.heal();
+    a.announce(3, &[]);
+    b.gets("f1", 3);
+    fleet.level();
+    assert_eq!(world.judge(FOLLOWED_MS), []);
+}
+
+/// A loop: whoever a route came through is not told it.
+fn what_comes_back(planted: &str) -> Vec<Broken> {
+    let (world, _fleet, stands) = with_stands(&["a", "b", "c"], planted);
+    stands[0].announce_from(1, "b");
+    stands[2].gets("f1", 1);
+    stands[0].announce(2, &[]);
+    stands[1].gets("f1", 2);
+    world.judge(FIRST_MS)
+}
+
+/// What is tightened beside a route that is not whole is heeded, though the document is turned down.
+fn tightened_beside_a_fault(planted: &str) -> Vec<Broken> {
+    let (world, fleet, stands) = with_stands(&["a", "b"], planted);
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    gets_all(b, [1, 2]);
+    a.mode(Mode::Fieldless);
+    a.announce(1, &[Restriction::Further { sites: 3 }]);
+    until("it is turned down", PATIENCE, || fleet.refused("a").is_some());
+    a.announce(2, &NOBODY);
+    std::thread::sleep(Duration::from_millis(FIRST_MS + 500));
+    world.judge(FIRST_MS)
+}
+
+/// A partner that falls silent as it tightens: what it told is used for its time.
+fn tightened_and_silent(planted: &str) -> Vec<Broken> {
+    let (world, _fleet, stands) = with_stands(&["a", "b"], planted);
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce(1, &[]);
+    b.gets("f1", 1);
+    a.mode(Mode::Dead);
+    a.announce(1, &NOBODY);
+    std::thread::sleep(Duration::from_millis(STALE_MS + 3 * FIRST_MS));
+    world.judge(STALE_MS + 2 * FIRST_MS)
+}
+
+/// Power is lost before a withdrawal that was told is on the disk, and the partner that made it is gone.
+fn withdrawn_and_restored(planted: &str) -> Vec<Broken> {
+    let (world, mut fleet, stands) = with_stands(&["a", "b"], planted);
+    let [a, b] = &stands[..] else { unreachable!() };
+    a.announce_all(&[1, 2], &[]);
+    gets_all(b, [1, 2]);
+    let (_, number) = fleet.held(0);
+    let kept = || fleet.kept().iter().map(|file| std::fs::read_to_string(file).unwrap_or_default()).collect();
+    let mut before: Vec<String> = kept();
+    until("each node keeps the table", PATIENCE, || {
+        before = kept();
+        before.iter().all(|text| text.contains("\"r1\"") && text.contains("\"r2\""))
+    });
+    a.withdraw(1);
+    b.loses("f1", 1);
+    a.mode(Mode::Dead);
+    (1..=3).for_each(|n| fleet.rig.kill(n));
+    for (file, text) in fleet.kept().iter().zip(before) {
+        std::fs::write(file, text).expect("a file");
+    }
+    (1..=3).for_each(|n| {
+        let table = fleet.rig.dir.join(format!("operator-{n}.toml"));
+        let table = std::fs::read_to_string(table).expect("a file");
+        fleet.rig.start_with(n, &table, &format!("export SILLFLOW_PLANTED={planted};"));
+    });
+    told_under(&world, b, number);
+    world.judge(FIRST_MS)
+}
+
+/// A holder that is cut off from the store is asked by one that knows no number, when another one holds the duty.
+fn asked_past_its_lease(planted: &str) -> Vec<Broken> {
+    let (world, fleet, stands) = with_stands(&["a", "b"], planted);
+    let (n, _) = fleet.held(0);
+    stands[0].announce(1, &[]);
+    stands[1].gets("f1", 1);
+    for other in (1..=3).filter(|other| *other != n) {
+        fleet.rig.relay.both(n, other, |link| link.cut = true);
+    }
+    let others: Vec<String> = (1..=3).filter(|other| *other != n).map(|other| fleet.address(other)).collect();
+    until("another node tells partners", PATIENCE, || {
+        others.iter().any(|at| world.asks_once(at, "b", "f1") == Some(200))
+    });
+    std::thread::sleep(Duration::from_millis(20));
+    let status = world.asks_once(&fleet.address(n), "a", "f1");
+    println!("whoever held the duty answers {status:?}");
+    world.judge(FOLLOWED_MS)
+}
+
+#[rstest]
+#[case::a_loop_is_told(Planted::LoopIsTold, what_comes_back)]
+#[case::tightening_in_a_bad_document_is_let_go(Planted::RefusedForgotten, tightened_beside_a_fault)]
+#[case::stale_tables_have_no_end(Planted::StaleForEver, tightened_and_silent)]
+#[case::what_was_kept_is_told_unheard(Planted::ToldUnheard, withdrawn_and_restored)]
+#[case::the_lease_is_not_looked_at(Planted::AnswersUnheld, asked_past_its_lease)]
+fn planted_errors_are_found(#[case] planted: Planted, #[case] history: fn(&str) -> Vec<Broken>) {
+    assert_eq!(history(""), []);
+    assert_ne!(history(&format!("{planted:?}")), []);
+}
+
+fn feed(term: u64, serial: u64, from: Option<u64>, route: u16) -> Feed {
+    let version = |serial| Version { term, serial };
+    let (_, route) = sites::route(route, Some("a"), &[]);
+    let route = serde_json::from_value(route).expect("a route");
+    Feed {
+        by: "n1".to_owned(),
+        version: version(serial),
+        from: from.map(version),
+        count: serial as usize,
+        partners: [].into(),
+        routes: vec![Told { from: name("a"), route, withdrawn: false }],
+        gone: Vec::new(),
+    }
+}
+
+#[rstest]
+fn a_node_takes_nothing_under_a_lower_number_nor_what_does_not_follow() {
+    let mut board = Board::default();
+    assert_eq!(board.take(feed(5, 1, None, 1), 0), Ok(true));
+    assert_eq!(board.take(feed(5, 2, Some(1), 2), 0), Ok(true));
+    assert_eq!(board.take(feed(5, 3, Some(1), 3), 0), Err(NotTaken::Gap(Version { term: 5, serial: 2 })));
+    let below = board.take(feed(4, 1, None, 4), 0);
+    assert!(matches!(below, Err(NotTaken::Below { .. })), "{below:?}");
+    assert_eq!(board.held().count(), 2);
+    plant(Some(Planted::LowerIsTaken));
+    let planted = board.take(feed(4, 1, None, 4), 0);
+    plant(None);
+    assert_eq!(planted, Ok(true), "the planted error is one");
+}
+
+/// A history of one stand-in that was told these documents, of a route that one announced and withdrew.
+fn told(documents: &[(u64, serde_json::Value)], judged: u64) -> Vec<Broken> {
+    let (server, _) = sites::route(1, None, &[]);
+    let spans = vec![(0, Some(vec![only("b")])), (5000, None)];
+    let origin = sites::Origin { site: name("a"), passed: 2, spans };
+    let got = documents.iter().map(|(at, document)| sites::Got {
+        asked_ms: at - 10,
+        came_ms: *at,
+        by: document["by"].as_str().unwrap_or("b").to_owned(),
+        of: "f1".to_owned(),
+        document: document.clone(),
+    });
+    let history = sites::History { announced: [(server, origin)].into(), got: got.collect() };
+    sites::judge(&history, &Default::default(), judged, FIRST_MS)
+}
+
+fn document(term: u64, serial: u64, from: Option<u64>, path: &[&str]) -> serde_json::Value {
+    let mut route = sites::route(1, None, &[]).1;
+    route["path"] = json!(path);
+    let routes = if path.is_empty() { json!([]) } else { json!([route]) };
+    let mut document = json!({
+        "site": "f1", "version": {"term": term, "serial": serial}, "count": 1, "routes": routes,
+    });
+    if let Some(from) = from {
+        document["from"] = json!({"term": term, "serial": from});
+    }
+    document
+}
+
+#[rstest]
+fn the_checker_finds_what_is_broken() {
+    let path = ["f1", "a"];
+    let first = (100, document(2, 1, None, &path));
+    let with = |at: u64, next: serde_json::Value| told(&[first.clone(), (at, next)], at);
+    let mut gone = document(2, 2, Some(1), &[]);
+    (gone["gone"], gone["count"]) = (json!(["r1"]), json!(0));
+    assert_eq!(told(std::slice::from_ref(&first), 2000), []);
+    assert_eq!(with(5500, gone.clone()), []);
+    assert_eq!(
+        told(std::slice::from_ref(&first), 6100),
+        [Broken::NotForIt("b".into(), "127.9.0.2:80".into())]
+    );
+    assert_eq!(with(200, document(2, 1, None, &path)), [Broken::Back("b".into())]);
+    assert_eq!(with(200, document(2, 2, Some(1), &path)), [Broken::Twice("b".into())]);
+    assert_eq!(with(200, document(2, 3, Some(2), &[])), [Broken::Skipped("b".into())]);
+    let lower = with(200, document(1, 9, None, &path));
+    assert_eq!(lower, [Broken::OldNumber("b".into()), Broken::Back("b".into())]);
+    gone["gone"] = json!(["r1", "r7"]);
+    assert_eq!(with(300, gone), [Broken::Trace("b".into())]);
+    let looped = told(&[(100, document(2, 1, None, &["f1", "b", "a"]))], 100);
+    assert!(looped.contains(&Broken::Loop("b".into())), "{looped:?}");
+    let mut to_c = document(2, 1, None, &path);
+    to_c["by"] = json!("c");
+    let not_for_c = told(&[(100, to_c)], 100);
+    assert!(not_for_c.contains(&Broken::NotForIt("c".into(), "127.9.0.2:80".into())), "{not_for_c:?}");
+    let mut invented = document(2, 1, None, &path);
+    invented["routes"][0]["servers"] = json!(["127.9.9.9:80"]);
+    assert!(told(&[(100, invented)], 100).contains(&Broken::Invented("b".into())));
+}
--- a/tests/rig/partners.rs
+++ b/tests/rig/partners.rs
@@ -1,5 +1,6 @@
 //! The slow rule of partners' routes: it recomputes from the announcements what is chosen and what each site may have, with
 //! nothing kept between two questions; and drawn announcements.
+#![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
--- a/tests/rig/sites.rs
+++ b/tests/rig/sites.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 use sillflow::partners::restrict::Restriction;
 use sillflow::partners::route::Name;
 
-use crate::rig::relay::PARTNERS;
+use crate::rig::relay::{PARTNERS, Relay};
 use crate::rig::{PATIENCE, Rig, until};
 use crate::slow::{Groups, lets, name};
 
@@ -24,8 +25,20 @@
 /// The same where the holder is lost: its lease, the look of the store, an answer that does not come, and a busy machine.
 pub const FOLLOWED_MS: u64 = LEASE_MS + 4500;
 
-/// What was announced for one server: whose it is, and from when on under what; nothing where it was withdrawn.
-pub type Announced = BTreeMap<String, (Name, Vec<(u64, Option<Vec<Restriction>>)>)>;
+/// From when on a route was announced under what; nothing where it was withdrawn.
+pub type Spans = Vec<(u64, Option<Vec<Restriction>>)>;
+
+/// What was announced for one server.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    pub site: Name,
+    /// Sites at the beginning of its way of which the restrictions say nothing: those of an own route say who is next, those
+    /// that a stand-in tells say who comes after whom it tells.
+    pub passed: usize,
+    pub spans: Spans,
+}
+
+pub type Announced = BTreeMap<String, Origin>;
 
 /// One answer with a document that a stand-in got.
 #[derive(Clone, Debug)]
@@ -132,10 +145,10 @@
         return Some(Broken::Loop(by.to_owned()));
     }
     for server in route["servers"].as_array().into_iter().flatten().filter_map(Value::as_str) {
-        let Some((origin, spans)) = history.announced.get(server) else {
+        let Some(Origin { site: origin, passed, spans }) = history.announced.get(server) else {
             return Some(Broken::Invented(by.to_owned()));
         };
-        let way: Vec<&Name> = path.iter().rev().skip(1).chain([&site]).collect();
+        let way: Vec<&Name> = path.iter().rev().skip(*passed).chain([&site]).collect();
         let allows = |written: &Vec<Restriction>| {
             way.iter().enumerate().all(|(hops, site)| {
                 written.iter().all(|restriction| match restriction {
@@ -234,11 +247,11 @@
     }
 
     /// Notes what a site announces for a server.
-    pub fn announces(&self, site: &str, server: &str, written: Option<Vec<Restriction>>) {
+    pub fn announces(&self, site: &str, passed: usize, server: &str, written: Option<Vec<Restriction>>) {
         let at = self.now_ms();
         let mut history = self.note();
-        let spans = history.announced.entry(server.to_owned()).or_insert_with(|| (name(site), Vec::new()));
-        spans.1.push((at, written));
+        let origin = || Origin { site: name(site), passed, spans: Spans::new() };
+        history.announced.entry(server.to_owned()).or_insert_with(origin).spans.push((at, written));
     }
 
     pub fn judge(&self, lag: u64) -> Vec<Broken> {
@@ -246,6 +259,17 @@
         judge(&history, &self.groups, self.now_ms(), lag)
     }
 
+    /// A question of somebody who knows no number, as one among what all have got. What is returned is the status.
+    pub fn asks_once(&self, at: &str, by: &str, of: &str) -> Option<u16> {
+        let asked_ms = self.now_ms();
+        let (status, document) = ask(at, by, None)?;
+        if status == 200 {
+            let (by, of) = (by.to_owned(), of.to_owned());
+            self.note().got.push(Got { asked_ms, came_ms: self.now_ms(), by, of, document });
+        }
+        Some(status)
+    }
+
     pub fn history(&self) -> History {
         self.note().clone()
     }
@@ -304,7 +328,7 @@
         self.telling().mode = mode;
     }
 
-    /// Bytes that it has sent of what is too long.
+    /// The most bytes that it has sent in one answer that is too long.
     pub fn sent(&self) -> u64 {
         self.telling().sent
     }
@@ -325,7 +349,7 @@
         let routes: Vec<_> = all.iter().map(|n| (n, route(*n, Some(&self.name), restrictions))).collect();
         // What gets looser is noted before it is told, and what gets tighter too: it is late from then on.
         for (_, (server, _)) in &routes {
-            self.world.announces(&self.name, server, Some(restrictions.to_vec()));
+            self.world.announces(&self.name, 2, server, Some(restrictions.to_vec()));
         }
         self.change(|table| {
             for (n, (_, route)) in routes {
@@ -334,10 +358,23 @@
         });
     }
 
+    /// Announces a route that it says that it has from another site.
+    pub fn announce_from(&self, n: u16, origin: &str) {
+        let (server, mut route) = route(n, None, &[]);
+        route["path"] = json!([self.name, origin]);
+        self.world.announces(origin, 3, &server, Some(Vec::new()));
+        self.change(|table| drop(table.insert(format!("r{n}"), route)));
+    }
+
     pub fn withdraw(&self, n: u16) {
-        let (server, _) = route(n, None, &[]);
-        self.world.announces(&self.name, &server, None);
-        self.change(|table| drop(table.remove(&format!("r{n}"))));
+        self.withdraw_all(&[n]);
+    }
+
+    pub fn withdraw_all(&self, all: &[u16]) {
+        for n in all {
+            self.world.announces(&self.name, 2, &route(*n, None, &[]).0, None);
+        }
+        self.change(|table| all.iter().for_each(|n| drop(table.remove(&format!("r{n}")))));
     }
 
     /// Drops the connection of whoever it has read a question of.
@@ -408,7 +445,10 @@
             return false;
         }
         match mode {
-            Mode::Half => stream.write_all(&text.as_bytes()[..text.len() / 2]).is_ok() && false,
+            Mode::Half => {
+                let _ = stream.write_all(&text.as_bytes()[..text.len() / 2]);
+                false
+            }
             Mode::Cut => stream.write_all(&text.as_bytes()[..text.len() / 2]).is_ok(),
             Mode::Garbage => stream.write_all(&vec![b'#'; text.len()]).is_ok(),
             Mode::Huge | Mode::Endless => self.flood(stream, mode == Mode::Endless),
@@ -418,6 +458,7 @@
 
     fn flood(&self, stream: &mut TcpStream, chunked: bool) -> bool {
         let piece = vec![b' '; 65536];
+        let mut sent = 0;
         for _ in 0..(100 << 20) / piece.len() {
             let head = if chunked { format!("{:x}\r\n", piece.len()) } else { String::new() };
             let tail: &[u8] = if chunked { b"\r\n" } else { b"" };
@@ -425,7 +466,9 @@
             if stream.write_all(&all).is_err() {
                 return false;
             }
-            self.telling().sent += piece.len() as u64;
+            sent += piece.len() as u64;
+            let mut telling = self.telling();
+            telling.sent = telling.sent.max(sent);
         }
         false
     }
@@ -495,6 +538,7 @@
         self.servers(of).contains(&route(n, None, &[]).0)
     }
 
+    /// Waits until it has a route, and says how long that took.
     pub fn gets(&self, of: &str, n: u16) -> Duration {
         until(&format!("{} has route {n} of {of}", self.name), PATIENCE, || self.has(of, n))
     }
@@ -524,6 +568,47 @@
     Some((status, serde_json::from_str(body).unwrap_or_else(|_| Value::String(body.to_owned()))))
 }
 
+/// The way between two fleets, which can be cut.
+pub struct Between {
+    relay: Relay,
+    hosts: (u8, u8),
+    count: usize,
+}
+
+impl Between {
+    pub fn start(fleets: [&Fleet; 2]) -> Self {
+        let count = fleets[0].count;
+        let to = |n: usize| match n.checked_sub(count) {
+            None | Some(0) => fleets[0].rig.address(n),
+            Some(n) => fleets[1].rig.address(n),
+        };
+        let started = (0..100).find_map(|_| {
+            let hosts = (rand::random_range(130..250), rand::random_range(1..255));
+            let at = |n: usize| format!("127.{}.{}.{n}:7070", hosts.0, hosts.1);
+            let way = |n: usize| (n, at(n).parse().expect("an address"), to(n).parse().expect("an address"));
+            Relay::start((1..=2 * count).map(way).collect()).ok().map(|relay| (relay, hosts))
+        });
+        let (relay, hosts) = started.expect("free addresses");
+        Self { relay, hosts, count }
+    }
+
+    /// Where the nodes of one of the fleets are reached from the other one.
+    pub fn addresses(&self, fleet: usize) -> Vec<String> {
+        let all = 1 + fleet * self.count..=(fleet + 1) * self.count;
+        all.map(|n| format!("127.{}.{}.{n}:{PARTNERS}", self.hosts.0, self.hosts.1)).collect()
+    }
+
+    /// Nothing passes any more.
+    pub fn cut(&self) {
+        let callers: Vec<usize> = (1..=self.count).collect();
+        self.relay.split(&callers, &(1..=2 * self.count).collect::<Vec<_>>());
+    }
+
+    pub fn heal(&self) {
+        self.relay.heal();
+    }
+}
+
 /// A fleet that is a site.
 pub struct Fleet {
     pub rig: Rig,
@@ -562,13 +647,13 @@
     /// Announces a route of this site's own, for all of its nodes.
     pub fn announce(&self, n: u16, restrictions: &[Restriction]) {
         let (server, route) = route(n, None, restrictions);
-        self.world.announces(&self.site, &server, Some(restrictions.to_vec()));
+        self.world.announces(&self.site, 1, &server, Some(restrictions.to_vec()));
         self.own.lock().expect("a lock").insert(format!("r{n}"), route);
         self.write_own();
     }
 
     pub fn withdraw(&self, n: u16) {
-        self.world.announces(&self.site, &route(n, None, &[]).0, None);
+        self.world.announces(&self.site, 1, &route(n, None, &[]).0, None);
         self.own.lock().expect("a lock").remove(&format!("r{n}"));
         self.write_own();
     }
@@ -625,6 +710,11 @@
         });
     }
 
+    /// The files that nodes keep their tables in.
+    pub fn kept(&self) -> Vec<PathBuf> {
+        (1..=self.count).map(|n| self.rig.dir.join(format!("partners-{n}/partners.json"))).collect()
+    }
+
     /// What the holder says of a partner.
     pub fn refused(&self, partner: &str) -> Option<String> {
         let reports = (1..=self.count).filter_map(|n| self.report(n)).find(|report| report.holds)?;
