Draw faults for partners' routes from a seed, and tell partners nothing before own routes are read

A new holder told the own routes of the one before for as long as it took to read its own. It is settled once they are read. A node whose file lacks a partner that the holder has keeps its table for a minute instead of asking for all of it each second. The schema of what is published is at /schema.

tests/partners.rs: two seeds of faults (nodes stopped, killed, cut off, stand-ins in trouble), the operator's table, who is told nothing.

--- a/src/partners/asking.rs
+++ b/src/partners/asking.rs
@@ -17,6 +17,8 @@
 pub const ROUTES: &str = "/routes";
 /// Where nodes of the fleet ask.
 pub const FLEET: &str = "/fleet";
+/// Where anybody gets the schema of what partners are told.
+pub const SCHEMA: &str = "/schema";
 /// The number of the duty under which it was answered that nothing is new.
 pub const NUMBER: &str = "sillflow-number";
 /// An answer waits for news so long at the most.
--- a/src/partners/board.rs
+++ b/src/partners/board.rs
@@ -16,6 +16,9 @@
 /// Names in these differences.
 const MOST_NAMES: usize = 100_000;
 
+/// How long the table of a partner is used that the holder's file has, and this node's does not yet, in ms.
+const UNKNOWN_STALE_MS: u64 = 60_000;
+
 /// Which route: whose, and its name there.
 type Key = (Name, Name);
 
@@ -229,7 +232,7 @@
     /// Drops the tables that have been stale for their time. What is returned is whether any was.
     pub fn tick(&mut self, terms: &BTreeMap<Name, Terms>, now: u64) -> bool {
         let is_over = |(name, stand): &(&Name, &Stand)| {
-            terms.get(*name).is_none_or(|terms| stand.stale_for(now) >= terms.stale_ms)
+            stand.stale_for(now) >= terms.get(*name).map_or(UNKNOWN_STALE_MS, |terms| terms.stale_ms)
         };
         let over: Vec<Name> = self.partners.iter().filter(is_over).map(|(name, _)| name.clone()).collect();
         if planted::is(Planted::StaleForEver) {
--- a/src/partners/lead.rs
+++ b/src/partners/lead.rs
@@ -35,6 +35,8 @@
     /// When each was heard last.
     last: BTreeMap<Name, u64>,
     exports: Exports,
+    /// Whether this node's own routes have been read: until then there are those of the holder before.
+    own_is_read: bool,
 }
 
 /// A route that is here, gone or told to nobody.
@@ -93,6 +95,7 @@
             heard: BTreeSet::new(),
             last: BTreeMap::new(),
             exports,
+            own_is_read: false,
         };
         leading.stand(board, now);
         Ok(leading)
@@ -106,6 +109,9 @@
     /// Whether partners are told: all have been heard, or have had their time.
     pub fn is_settled(&self, now: Now) -> bool {
         let has_all = self.heard.len() == self.partners.len();
+        if !self.own_is_read {
+            return false;
+        }
         has_all || now.own.saturating_sub(self.began) >= SETTLE_MS || planted::is(Planted::ToldUnheard)
     }
 
@@ -184,6 +190,11 @@
         self.stand(board, now);
     }
 
+    /// This node's own routes cannot be read: those that were told before stay.
+    pub fn own_stays(&mut self) {
+        self.own_is_read = true;
+    }
+
     /// This site's own routes are these from now on.
     pub fn set_own(&mut self, board: &mut Board, routes: &[Arc<Route>], now: Now) {
         let names: BTreeSet<&Name> = routes.iter().map(|route| &route.name).collect();
@@ -192,6 +203,7 @@
         let held =
             |route: &Arc<Route>| Held { from: self.own.clone(), route: route.clone(), withdrawn: false };
         changes.extend(routes.iter().map(|route| Change { before: None, after: Some(held(route)) }));
+        self.own_is_read = true;
         self.apply(board, &changes, now);
     }
 
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -557,7 +557,10 @@
             }
             site.lead(|leading, board, now| leading.set_own(board, &routes, now));
         }
-        Ok(Err(problem)) => error!("partners: own routes stay as they were: {problem}"),
+        Ok(Err(problem)) => {
+            error!("partners: own routes stay as they were: {problem}");
+            site.lead(|leading, _, _| leading.own_stays());
+        }
         Err(problem) => error!("partners: own routes stay as they were: {problem}"),
     }
     *seen = Some(stamp);
--- a/src/partners/publish.rs
+++ b/src/partners/publish.rs
@@ -21,9 +21,10 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_io_timeout::TimeoutStream;
 
-use super::asking::{Asked, FLEET, NUMBER, ROUTES};
+use super::asking::{Asked, FLEET, NUMBER, ROUTES, SCHEMA};
 use super::live::{NotAnswered, Site};
 use super::route::Name;
+use super::table;
 
 /// Connections at once; the others wait.
 const CONNECTIONS: usize = 1024;
@@ -143,6 +144,7 @@
             plain(StatusCode::FORBIDDEN, why)
         }
         (ROUTES, None) => plain(StatusCode::BAD_REQUEST, "for: names nobody"),
+        (SCHEMA, _) => json(table::schema()).await,
         (FLEET, None) if site.is_node(from) => node_asks(asked, &site).await,
         (FLEET, _) => plain(StatusCode::FORBIDDEN, format!("{from} is no node of this fleet")),
         _ => plain(StatusCode::NOT_FOUND, "nothing is here"),
--- a/tests/partners.rs
+++ b/tests/partners.rs
@@ -10,9 +10,12 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rig::{PATIENCE, until};
 use rstest::rstest;
 use serde_json::json;
+use sillflow::config::Operator;
 use sillflow::partners::asking::{Feed, Told};
 use sillflow::partners::board::{Board, NotTaken};
 use sillflow::partners::planted::{Planted, plant};
@@ -29,13 +32,18 @@
 
 /// One fleet of three nodes with stand-ins as partners, which ask it.
 fn with_stands(names: &[&str], planted: &str) -> (World, Fleet, Vec<Stand>) {
+    with_askers(names, names.len(), planted)
+}
+
+/// The same, where only the first so many ask.
+fn with_askers(names: &[&str], askers: usize, planted: &str) -> (World, Fleet, Vec<Stand>) {
     let world = World::new();
     let mut fleet = Fleet::new(&world, "f1", 3);
     let stands: Vec<Stand> = names.iter().map(|name| Stand::start(&world, name)).collect();
     let partners: Vec<_> = stands.iter().map(Fleet::site_of).collect();
     fleet.start(&partners, planted);
     fleet.held(0);
-    stands.iter().for_each(|stand| stand.asks("f1", fleet.addresses()));
+    stands[..askers].iter().for_each(|stand| stand.asks("f1", fleet.addresses()));
     (world, fleet, stands)
 }
 
@@ -396,6 +404,121 @@
     assert_eq!(world.judge(FOLLOWED_MS), []);
 }
 
+/// What a stand-in announces next, by a seed.
+fn draw_announcement(rng: &mut SmallRng, stand: &Stand, first: u16) {
+    let n = first + rng.random_range(0..8);
+    match rng.random_range(0..6) {
+        0 => stand.withdraw(n),
+        1 => stand.announce(n, &NOBODY),
+        2 => stand.announce(n, &[only(["a", "b", "c"][rng.random_range(0..3usize)])]),
+        3 => stand.announce(n, &[Restriction::Further { sites: rng.random_range(0..2) }]),
+        _ => stand.announce(n, &[]),
+    }
+}
+
+/// What goes wrong next with a node or a stand-in, by the same seed. One node of three at a time: the store keeps its majority.
+fn draw_fault(rng: &mut SmallRng, fleet: &mut Fleet, stands: &[Stand]) {
+    let n = rng.random_range(1..=3);
+    let others: Vec<usize> = (1..=3).filter(|other| *other != n).collect();
+    match rng.random_range(0..5) {
+        0 => {
+            fleet.rig.signal(n, "-STOP");
+            std::thread::sleep(Duration::from_millis(rng.random_range(200..2500)));
+            fleet.rig.signal(n, "-CONT");
+        }
+        1 => {
+            fleet.rig.kill(n);
+            fleet.rig.again(n);
+        }
+        2 => {
+            fleet.rig.relay.split(&[n], &others);
+            std::thread::sleep(Duration::from_millis(rng.random_range(200..2500)));
+            fleet.rig.relay.heal();
+        }
+        _ => {
+            let all = [Mode::Half, Mode::Cut, Mode::Garbage, Mode::Dead, Mode::Fieldless, Mode::Older];
+            let stand = &stands[rng.random_range(0..stands.len())];
+            stand.mode(all[rng.random_range(0..all.len())]);
+            std::thread::sleep(Duration::from_millis(rng.random_range(200..1500)));
+            stand.mode(Mode::Well);
+        }
+    }
+}
+
+#[rstest]
+#[case(27)]
+#[case(28)]
+fn no_route_is_where_it_may_not_be_whatever_goes_wrong(#[case] seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    println!("seed {seed}");
+    let (world, mut fleet, stands) = with_stands(&["a", "b", "c"], "");
+    for _ in 0..8 {
+        for (at, stand) in stands.iter().enumerate() {
+            draw_announcement(&mut rng, stand, at as u16 * 10);
+        }
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..400)));
+        draw_fault(&mut rng, &mut fleet, &stands);
+    }
+    let [a, b, c] = &stands[..] else { unreachable!() };
+    for (stand, others) in [(a, [b, c]), (b, [a, c]), (c, [a, b])] {
+        until("each has what it may have, and nothing else", PATIENCE * 2, || {
+            stand.servers("f1") == stand.may_have(&others)
+        });
+    }
+    fleet.level();
+    assert_eq!(world.judge(FOLLOWED_MS + STALE_MS), []);
+}
+
+#[rstest]
+#[case::no_fleet("", "partners: needs the table fleet")]
+#[case::a_partner_twice("sites = [S, S]", "partners.sites[1].name: a is there twice")]
+#[case::itself(
+    "sites = [{ name = 'f1', addresses = ['1.2.3.4:5'], allow = [] }]",
+    "is there twice, or is this site"
+)]
+#[case::no_address(
+    "sites = [{ name = 'x', addresses = [], allow = [] }]",
+    "partners.sites[0].addresses: 0 is not from 1"
+)]
+#[case::stale(
+    "sites = [{ name = 'x', addresses = ['1.2.3.4:5'], allow = [], stale_ms = 3 }]",
+    "stale_ms: 3 is not from 500"
+)]
+#[case::granted("sites = [S]\ngrants = [{ match = {}, to = ['z'] }]", "partners.grants[0].to: z is neither")]
+#[case::servers(
+    "sites = []\nroutes = [{ name = 'r', servers = [], capacity = 1 }]",
+    "partners.routes[0].servers: r names none"
+)]
+#[case::kind(
+    "sites = []\nroutes = [{ name = 'r', servers = ['1.2.3.4:5'], capacity = 1, restrictions = [{ kind = 'some' }] }]",
+    "unknown variant `some`"
+)]
+#[case::duty("sites = []\nduty = ''", "partners.duty")]
+#[case::unknown("sites = []\nroute = 1", "unknown field `route`")]
+fn what_is_wrong_with_the_operators_table_is_named(#[case] more: &str, #[case] named: &str) {
+    let one = "{ name = 'a', addresses = ['1.2.3.4:5'], allow = ['1.2.3.0/24'] }";
+    let more = if more.is_empty() { "sites = []".to_owned() } else { more.replace('S', one) };
+    let text =
+        format!("[partners]\nsite = 'f1'\nlisten = '1.2.3.4:5'\nnodes = []\ndirectory = '/x'\n{more}\n");
+    let faults: Vec<String> = Operator::check(&text).iter().map(ToString::to_string).collect();
+    assert!(faults.iter().any(|fault| fault.contains(named)), "{faults:?}");
+}
+
+#[rstest]
+fn whoever_is_no_partner_is_told_nothing_and_why() {
+    let (_world, fleet, _stands) = with_stands(&["a"], "");
+    let (n, _) = fleet.held(0);
+    let at = fleet.address(n);
+    let status = |path: &str| sites::get(&at, path).map(|(status, _)| status);
+    assert_eq!(status("/routes?for=z&wait_ms=0"), Some(403));
+    assert_eq!(status("/routes?wait_ms=0"), Some(400));
+    assert_eq!(status("/routes?for=a&after=7"), Some(400));
+    assert_eq!(status("/routes?for=a&after=99999.1"), Some(409), "told under a higher number");
+    assert_eq!(status("/elsewhere"), Some(404));
+    let schema = sites::get(&at, "/schema").expect("an answer").1;
+    assert!(schema["properties"]["version"].is_object(), "{schema}");
+}
+
 /// A loop: whoever a route came through is not told it.
 fn what_comes_back(planted: &str) -> Vec<Broken> {
     let (world, _fleet, stands) = with_stands(&["a", "b", "c"], planted);
@@ -463,7 +586,7 @@
 
 /// A holder that is cut off from the store is asked by one that knows no number, when another one holds the duty.
 fn asked_past_its_lease(planted: &str) -> Vec<Broken> {
-    let (world, fleet, stands) = with_stands(&["a", "b"], planted);
+    let (world, fleet, stands) = with_askers(&["a", "b", "d"], 2, planted);
     let (n, _) = fleet.held(0);
     stands[0].announce(1, &[]);
     stands[1].gets("f1", 1);
@@ -472,10 +595,10 @@
     }
     let others: Vec<String> = (1..=3).filter(|other| *other != n).map(|other| fleet.address(other)).collect();
     until("another node tells partners", PATIENCE, || {
-        others.iter().any(|at| world.asks_once(at, "b", "f1") == Some(200))
+        others.iter().any(|at| world.asks_once(at, "d", "f1") == Some(200))
     });
     std::thread::sleep(Duration::from_millis(20));
-    let status = world.asks_once(&fleet.address(n), "a", "f1");
+    let status = world.asks_once(&fleet.address(n), "d", "f1");
     println!("whoever held the duty answers {status:?}");
     world.judge(FOLLOWED_MS)
 }
--- a/tests/rig/sites.rs
+++ b/tests/rig/sites.rs
@@ -523,6 +523,19 @@
         });
     }
 
+    /// The servers that another one announces now and that may be told to it, as far as each restriction says by itself.
+    pub fn may_have(&self, others: &[&Stand]) -> Vec<String> {
+        let history = self.world.history();
+        let lets_all = |written: &Vec<Restriction>| {
+            written.iter().all(|one| lets(one, &name(&self.name), &self.world.groups, 0))
+        };
+        let told = history.announced.iter().filter(|(_, origin)| {
+            let now = origin.spans.last().and_then(|(_, written)| written.as_ref());
+            others.iter().any(|other| name(&other.name) == origin.site) && now.is_some_and(lets_all)
+        });
+        told.map(|(server, _)| server.clone()).collect()
+    }
+
     /// The servers that it has from a site.
     pub fn servers(&self, of: &str) -> Vec<String> {
         let has = self.has.lock().expect("a lock");
