--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod renew;
 mod routes;
 mod settings;
+mod verdicts;
 
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
@@ -27,6 +28,7 @@
 pub use operator::{Ajp, FleetTable, Operator, Peer, StoreOptions};
 pub use routes::{KnowledgeTable, RecordsTable};
 pub use settings::{Pairs, Site, gauges, parse};
+pub use verdicts::VerdictsTable;
 
 /// Why a node cannot start.
 #[derive(Debug, Error)]
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -12,6 +12,7 @@
 use super::duties::DutiesTable;
 use super::fault::Fault;
 use super::routes::{KnowledgeTable, RecordsTable};
+use super::verdicts::VerdictsTable;
 use crate::fleet::view::MOST_NAME;
 
 /// The file, in TOML.
@@ -34,6 +35,8 @@
     pub copies: Option<CopiesTable>,
     /// The node's part in duties that one node does at a time; absent where it takes none.
     pub duties: Option<DutiesTable>,
+    /// The node's part in votes on the servers of the records service; absent where each node removes them for itself.
+    pub verdicts: Option<VerdictsTable>,
 }
 
 /// The node's part in a fleet of nodes that know each other.
@@ -219,6 +222,10 @@
         if let Some(duties) = &self.duties {
             duties.check(self.fleet.is_some(), &mut faults);
         }
+        if let Some(verdicts) = &self.verdicts {
+            let has = [has_servers, self.fleet.is_some(), self.duties.is_some()];
+            verdicts.check(has, &mut faults);
+        }
         faults
     }
 
@@ -238,6 +245,7 @@
             fleet: read_alone::<FleetAlone>(text, "fleet", &mut faults).fleet,
             copies: read_alone::<CopiesAlone>(text, "copies", &mut faults).copies,
             duties: read_alone::<DutiesAlone>(text, "duties", &mut faults).duties,
+            verdicts: read_alone::<VerdictsAlone>(text, "verdicts", &mut faults).verdicts,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
         faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
@@ -252,7 +260,7 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 7] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties"];
+const TABLES: [&str; 8] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "verdicts"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -285,6 +293,11 @@
     duties: Option<DutiesTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct VerdictsAlone {
+    verdicts: Option<VerdictsTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct KnowledgeAlone {
     #[serde(default)]
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -26,6 +26,7 @@
 use crate::copies;
 use crate::duty::hold::Ends;
 use crate::frame::{receive_within, send};
+use crate::verdict;
 
 use super::copying::{Copying, Datagram, Part, Target, Woken};
 use super::follow::{Heard, Store};
@@ -95,6 +96,8 @@
     pub copies: Option<Part>,
     /// Its part in the duties, where it has one.
     pub duties: Option<Ends>,
+    /// What it shows of the votes on servers, where it has a part in them.
+    pub verdicts: Option<watch::Receiver<verdict::part::Report>>,
     /// Whether this process is the node's only one: until it is, it follows the fleet and does not belong.
     pub alone: watch::Receiver<bool>,
 }
@@ -118,7 +121,7 @@
 }
 
 async fn serve(options: Options, shown: watch::Sender<View>) -> Result<(), FleetError> {
-    let Options { name, table, copies, duties, mut alone } = options;
+    let Options { name, table, copies, duties, verdicts, mut alone } = options;
     let number = Rc::new(Cell::new(0));
     let (heard, hears) = mpsc::channel(4);
     let (asked, questions) = mpsc::channel(CONNECTIONS);
@@ -147,6 +150,7 @@
     let mut daemon = Daemon {
         copying: copies.map(|part| Copying::new(part, store.clone(), rng().random())),
         duties,
+        verdicts,
         keeps,
         leaving: None,
         name,
@@ -388,6 +392,7 @@
     asked_peers: Option<Instant>,
     copying: Option<Copying>,
     duties: Option<Ends>,
+    verdicts: Option<watch::Receiver<verdict::part::Report>>,
     keeps: watch::Sender<Kept>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
@@ -747,6 +752,7 @@
             bytes_sent: self.bytes_sent,
             nodes: self.view.nodes().map(line).collect(),
             duties: self.duties.as_ref().map(|duties| duties.shown.borrow().clone()),
+            verdicts: self.verdicts.as_ref().map(|verdicts| verdicts.borrow().clone()),
         }
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -211,6 +211,9 @@
     /// Its part in the duties, where it has one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub duties: Option<crate::duty::hold::Report>,
+    /// Its part in the votes on servers, where it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<crate::verdict::part::Report>,
 }
 
 /// Why a node cannot be asked.
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,10 +15,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::back::{control, processor, records};
-use crate::config::{Config, ConfigError, CopiesTable, Peers, RecordsTable};
+use crate::config::{Config, ConfigError, CopiesTable, Operator, Peers, RecordsTable};
 use crate::copies::News;
 use crate::copies::slots::Terms;
-use crate::duty::{beat, hold};
+use crate::duty::{DutyName, Held, beat, hold};
 use crate::exchange::{self, Copying, Handle, Input};
 use crate::fleet;
 use crate::fleet::copying::Part;
@@ -29,6 +29,9 @@
 use crate::interface::{RequestId, SettingsError};
 use crate::peers::{Routes, Teller, learn};
 use crate::store::{self, Contents};
+use crate::verdict;
+use crate::verdict::holding::Terms as Counted;
+use crate::verdict::list::Shares;
 
 /// How long before its stop a node gives connections back and stops listening.
 const GIVE_BACK: Duration = Duration::from_millis(900);
@@ -84,7 +87,14 @@
     let records = records::Records::new(peers.clone(), routes.clone(), handle.clone(), config.sockets / 4);
     spawn_local(records.serve(servers.calls));
     let (publish, published) = watch::channel(config.published()?);
-    let turning = Turning { reached, publish, routes: routes.clone(), terms: copies.terms.clone() };
+    let mut votes = Votes::of(&config, routes.clone());
+    let turning = Turning {
+        reached,
+        publish,
+        routes: routes.clone(),
+        terms: copies.terms.clone(),
+        votes: votes.as_ref().map(|votes| votes.terms.clone()),
+    };
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), turning));
     let (alone, turn) = succeed(&config, &handle).await;
     let (on_its_own, is_alone) = watch::channel(false);
@@ -97,10 +107,14 @@
             table,
             copies: part,
             duties: ends.clone(),
+            verdicts: votes.as_ref().map(|votes| votes.shown.clone()),
             alone: is_alone.clone(),
         };
         match fleet::daemon::start(options) {
-            Ok(view) => begin_duties(&config, keeper, view, is_alone),
+            Ok(view) => {
+                let counts = votes.take().and_then(|votes| votes.begin(view.clone(), is_alone.clone()));
+                begin_duties(&config, keeper, view, is_alone, counts);
+            }
             Err(problem) => error!("this node has no part in the fleet: {problem}"),
         }
         duties = ends;
@@ -152,6 +166,7 @@
     part: Option<hold::Part>,
     view: watch::Receiver<View>,
     alone: watch::Receiver<bool>,
+    counts: Option<(DutyName, GivenCount)>,
 ) {
     let (Some(part), Some(table), Some(fleet)) =
         (part, config.operator.duties.clone(), config.operator.fleet.clone())
@@ -168,12 +183,76 @@
         from: fleet.listen.ip(),
     };
     let name = config.name.clone();
-    let beats = move || beat::all(&table.beats, &name, fleet.listen.ip());
+    let beats = move || {
+        let mut registry = beat::all(&table.beats, &name, fleet.listen.ip());
+        if let Some((duty, give)) = counts {
+            let _ = give.send(registry.register(duty));
+        }
+        registry
+    };
     if let Err(problem) = hold::start(options, part, view, alone, beats) {
         error!("this node takes no duties: {problem}");
     }
 }
 
+/// Where the duty of counting votes comes.
+type GivenCount = oneshot::Sender<mpsc::Receiver<Held>>;
+
+/// The node's part in the votes on servers before it begins.
+struct Votes {
+    duty: DutyName,
+    options: verdict::part::Options,
+    terms: Rc<watch::Sender<Counted>>,
+    shown: watch::Receiver<verdict::part::Report>,
+}
+
+impl Votes {
+    /// The part, where the operator's file has one. The calls of this node are noted for it from here on.
+    fn of(config: &Config, routes: Option<Rc<Routes>>) -> Option<Self> {
+        let Config { name, operator, .. } = config;
+        let (Some(table), Some(records), Some(fleet)) =
+            (&operator.verdicts, &operator.records, &operator.fleet)
+        else {
+            return None;
+        };
+        // The table was held to the same rule when it was read.
+        let duty = DutyName::new(table.duty.clone()).ok()?;
+        let (terms, agreed) = watch::channel(table.terms(records));
+        let (shares, given) = watch::channel(Shares::new());
+        let (shown, seen) = watch::channel(verdict::part::Report::default());
+        let (asks, asked) = mpsc::channel(1);
+        spawn_local(routes?.vote(asked, given));
+        let in_directory = || fleet.directory.as_ref().map(|directory| directory.join("verdicts.json"));
+        let options = verdict::part::Options {
+            name: name.clone(),
+            zone: fleet.zone.clone(),
+            listen: SocketAddr::new(fleet.listen.ip(), table.port),
+            file: table.file.clone().or_else(in_directory),
+            terms: agreed,
+            asks,
+            shares,
+            shown,
+        };
+        Some(Self { duty, options, terms: Rc::new(terms), shown: seen })
+    }
+
+    /// Begins it. What is returned takes the duty's end.
+    fn begin(
+        self,
+        view: watch::Receiver<View>,
+        alone: watch::Receiver<bool>,
+    ) -> Option<(DutyName, GivenCount)> {
+        let (give, given) = oneshot::channel();
+        match verdict::part::start(self.options, view, alone, given) {
+            Ok(()) => Some((self.duty, give)),
+            Err(problem) => {
+                error!("this node has no part in the votes: {problem}");
+                None
+            }
+        }
+    }
+}
+
 /// The ends of the channels between the core, its copies and the operator's file.
 struct Copies {
     core: Option<(Copying, mpsc::UnboundedReceiver<(u32, News)>)>,
@@ -307,6 +386,7 @@
                 turning.publish.send_replace(published);
                 turn_to(&turning.routes, &new.operator.records);
                 turning.agree(&new.operator.copies);
+                turning.count(&new.operator);
                 config = new;
             }
             Err(problem) => warn!("the configuration stays as it was: {problem}"),
@@ -320,9 +400,19 @@
     publish: watch::Sender<String>,
     routes: Option<Rc<Routes>>,
     terms: Option<watch::Sender<Terms>>,
+    votes: Option<Rc<watch::Sender<Counted>>>,
 }
 
 impl Turning {
+    /// Counts votes by other words and for other servers. Whether this node has a part in them counts from the next start.
+    fn count(&self, operator: &Operator) {
+        match (&self.votes, &operator.verdicts, &operator.records) {
+            (Some(votes), Some(table), Some(records)) => drop(votes.send_replace(table.terms(records))),
+            (None, None, _) => {}
+            _ => warn!("votes on servers come or go as a whole at the next start only"),
+        }
+    }
+
     /// Asks for another number of copies, where the operator has set one. Whether there are any counts from the next
     /// start.
     fn agree(&self, table: &Option<CopiesTable>) {
--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -1,23 +1,45 @@
 //! The pool of servers as the tasks of a node share it: with the node's clock and its random numbers.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use super::wire::Beliefs;
 use crate::config::RecordsTable;
 use crate::knowledge::{Digest, Merged, Run};
 use crate::route::{Choice, Ended, Full, Kind, Pool, ServerId, Spec};
+use crate::verdict::count;
+use crate::verdict::evidence::{Call, Counts, Life, Recorder};
+use crate::verdict::keeper::Trial;
+use crate::verdict::list::{Given, Share, Shares};
+use crate::verdict::part::Noted;
+
+/// Classes of evidence: calls that may be made a second time, and all others.
+const SAFE: u8 = 0;
+const UNSAFE: u8 = 1;
 
 /// The servers of the records service.
 pub struct Routes {
     pool: RefCell<Pool>,
     rng: RefCell<SmallRng>,
     start: Instant,
+    /// What is noted for the votes of the fleet, where this node has a part in them.
+    votes: RefCell<Option<Votes>>,
+}
+
+/// What this node's calls show, until it is sent, and what the fleet makes of servers.
+#[derive(Default)]
+struct Votes {
+    recorder: Recorder,
+    shares: Shares,
+    /// Calls of the trial that a server is in: how often it had gone, and what they showed.
+    trials: BTreeMap<SocketAddr, (u32, Trial)>,
 }
 
 /// A call's way to a server. Dropped without a word it counts as given up, so that no place is lost.
@@ -26,6 +48,7 @@
     choice: Choice,
     /// When the call was sent: what it waits for within the node is no time of the server's.
     sent: Option<Instant>,
+    class: u8,
     settled: bool,
 }
 
@@ -38,7 +61,68 @@
     pub fn new(table: &RecordsTable, seed: u64) -> Rc<Self> {
         let pool = Pool::new(0.0, table.choice.clone(), &table.servers);
         let rng = SmallRng::seed_from_u64(seed);
-        Rc::new(Self { pool: RefCell::new(pool), rng: RefCell::new(rng), start: Instant::now() })
+        let votes = RefCell::default();
+        Rc::new(Self { pool: RefCell::new(pool), rng: RefCell::new(rng), start: Instant::now(), votes })
+    }
+
+    /// Notes calls for the votes of the fleet from here on, hands them to who asks, and follows what the fleet gives
+    /// the servers. Ends with the part that has the other ends.
+    pub async fn vote(
+        self: Rc<Self>,
+        mut asks: mpsc::Receiver<oneshot::Sender<Noted>>,
+        mut shares: watch::Receiver<Shares>,
+    ) {
+        self.votes.replace(Some(Votes::default()));
+        loop {
+            tokio::select! {
+                asked = asks.recv() => match asked {
+                    Some(back) => drop(back.send(self.noted())),
+                    None => return,
+                },
+                Ok(()) = shares.changed() => {
+                    let shares = shares.borrow_and_update().clone();
+                    self.follow(shares);
+                }
+            }
+        }
+    }
+
+    fn noted(&self) -> Noted {
+        let now = self.now();
+        let noted = |votes: &mut Votes| Noted {
+            evidence: votes.recorder.take(now),
+            trials: votes.trials.iter().map(|(server, (_, trial))| (*server, *trial)).collect(),
+        };
+        self.votes.borrow_mut().as_mut().map(noted).unwrap_or_default()
+    }
+
+    fn follow(&self, shares: Shares) {
+        let parts = shares.iter().map(|(server, given)| (*server, given.share)).collect();
+        self.pool.borrow_mut().follow(self.now(), parts);
+        if let Some(votes) = self.votes.borrow_mut().as_mut() {
+            let tried = |server: &SocketAddr, times: u32| {
+                shares.get(server).is_some_and(|given| given.share == Share::Trial && given.times == times)
+            };
+            votes.trials.retain(|server, (times, _)| tried(server, *times));
+            votes.shares = shares;
+        }
+    }
+
+    /// Notes what the end of a call shows of its server, where it shows anything.
+    fn note(&self, choice: &Choice, class: u8, ended: &Ended) {
+        let failed = match ended.kind {
+            Kind::Withdrawn | Kind::Unsent => return,
+            kind => kind != Kind::Served,
+        };
+        let life = ended.run.and_then(|run| {
+            let up_ms = run.up_ms?.clamp(0.0, f64::from(u32::MAX)) as u32;
+            Some(Life { incarnation: run.incarnation?, up_ms })
+        });
+        let unit_ms = (!failed).then(|| choice.unit_ms(ended.took_ms));
+        let call = Call { server: choice.address, class, life, failed, unit_ms };
+        if let Some(votes) = self.votes.borrow_mut().as_mut() {
+            votes.note(self.now(), &call);
+        }
     }
 
     /// Time since the start, in ms.
@@ -53,7 +137,8 @@
     pub fn choose(self: &Rc<Self>, work: f64, safe: bool, tried: &[ServerId]) -> Result<Leg, Full> {
         let mut rng = self.rng.borrow_mut();
         let choice = self.pool.borrow_mut().choose(self.now(), work, safe, tried, &mut *rng)?;
-        Ok(Leg { routes: self.clone(), choice, sent: None, settled: false })
+        let class = if safe { SAFE } else { UNSAFE };
+        Ok(Leg { routes: self.clone(), choice, sent: None, class, settled: false })
     }
 
     /// Whether a further attempt is within the budget, which it then counts to.
@@ -94,6 +179,24 @@
     }
 }
 
+impl Votes {
+    fn note(&mut self, now: f64, call: &Call) {
+        let counts = self.recorder.note(now, call);
+        let Some(Given { share: Share::Trial, kind, times }) = self.shares.get(&call.server).copied() else {
+            return;
+        };
+        let Counts { calls, failed, timed, slow } = counts;
+        // One that fails is not well, whatever it went for.
+        let (calls, bad) = match kind {
+            count::Kind::Failing => (calls, failed),
+            count::Kind::Slow => (timed + failed, slow + failed),
+        };
+        let (_, trial) = self.trials.entry(call.server).or_insert((times, Trial::default()));
+        trial.calls = trial.calls.saturating_add(calls);
+        trial.bad = trial.bad.saturating_add(bad);
+    }
+}
+
 impl Leg {
     /// Which server.
     pub fn server(&self) -> ServerId {
@@ -119,6 +222,7 @@
         if !std::mem::replace(&mut self.settled, true) {
             let ended = Ended { kind, took_ms: self.sent.map_or(0.0, ms), run };
             self.routes.pool.borrow_mut().ended(self.routes.now(), &self.choice, &ended);
+            self.routes.note(&self.choice, self.class, &ended);
         }
     }
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -1,6 +1,6 @@
 //! The pool: what is known of each server, the choice, and what its end teaches.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -14,6 +14,7 @@
 use super::outlier::{Measured, median, outliers};
 use super::server::{Server, ServerId, Spec, Standing, Start, TRIALS};
 use crate::knowledge::{Digest, Heard, Inherited, Item, MOST_AGE_MS, MOST_LOG, Merged, Prior, Run, Sample};
+use crate::verdict::list::Share;
 
 /// Time between looks at the whole pool, and the least time before one that failures in a row call for, in ms.
 const REVIEW_MS: f64 = 1_000.0;
@@ -95,6 +96,13 @@
     slowed: f64,
 }
 
+impl Choice {
+    /// Time for a unit of the call's work, in ms, where it took so long.
+    pub fn unit_ms(&self, took_ms: f64) -> f64 {
+        took_ms / self.work
+    }
+}
+
 /// No server has room: each has as many calls in hand as it may.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Full;
@@ -157,6 +165,8 @@
     options: Options,
     servers: SlotMap<ServerId, Server>,
     by_address: HashMap<SocketAddr, ServerId>,
+    /// What the fleet gives servers that it has removed, or that are on their way back.
+    shares: BTreeMap<SocketAddr, Share>,
     eligible: Eligible,
     /// Log time for a unit of work, in ms, of the middle server; absent before the first sample.
     level: Option<f64>,
@@ -178,6 +188,7 @@
             options,
             servers: SlotMap::with_key(),
             by_address: HashMap::new(),
+            shares: BTreeMap::new(),
             eligible: Eligible::default(),
             level: None,
             level_samples: 0.0,
@@ -220,6 +231,23 @@
         self.review(now);
     }
 
+    /// Follows what the fleet gives these servers; all others get their whole share. Calls in hand end as they do.
+    pub fn follow(&mut self, now: f64, shares: BTreeMap<SocketAddr, Share>) {
+        self.shares = shares;
+        self.review(now);
+    }
+
+    /// The last servers stay: where the fleet has removed all that there are here, it has removed none.
+    fn take_shares(&mut self) {
+        let none_left = self.servers.values().all(|server| {
+            matches!(self.shares.get(&server.spec.address), Some(Share::Trial | Share::Part(0.0)))
+        });
+        for server in self.servers.values_mut() {
+            let share = self.shares.get(&server.spec.address).filter(|_| !none_left);
+            server.share = share.copied().unwrap_or(Share::Part(1.0));
+        }
+    }
+
     /// How many servers there are.
     pub fn len(&self) -> usize {
         self.servers.len()
@@ -257,9 +285,11 @@
             self.review(now);
         }
         let work = work.max(LEAST);
-        let look = if safe { self.unmeasured(now, tried, rng) } else { None };
+        let part = if self.shares.is_empty() { 0.0 } else { rng.random() };
+        let look = if safe { self.unmeasured(now, part, tried, rng) } else { None };
         let looked = self.on_trial(now, safe, tried, rng).or(look);
-        let id = looked.or_else(|| self.drawn(now, work, tried, rng)).or_else(|| self.any(now, work, tried));
+        let drawn = looked.or_else(|| self.drawn(now, work, part, tried, rng));
+        let id = drawn.or_else(|| self.any(now, work, part, tried));
         let id = id.ok_or(Full)?;
         let slowed = self.slowed(id, now);
         let server = self.servers.get_mut(id).ok_or(Full)?;
@@ -284,8 +314,11 @@
             return None;
         }
         let id = trial[rng.random_range(..trial.len())];
-        let free = |server: &Server| match server.standing {
-            Standing::Trial { since, .. } => server.in_hand == 0 && (safe || now - since >= TRIAL_WAITS_MS),
+        let free = |server: &Server| match (server.share, server.standing) {
+            (Share::Trial, _) => server.in_hand == 0 && safe,
+            (_, Standing::Trial { since, .. }) => {
+                server.in_hand == 0 && (safe || now - since >= TRIAL_WAITS_MS)
+            }
             _ => false,
         };
         (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
@@ -293,7 +326,13 @@
 
     /// Now and then the next server in turn, where it was not measured here for long: one that was bad once would
     /// never be seen to be good again, and a word that praises bad ones would never be refuted by good ones.
-    fn unmeasured(&mut self, now: f64, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+    fn unmeasured(
+        &mut self,
+        now: f64,
+        part: f64,
+        tried: &[ServerId],
+        rng: &mut impl Rng,
+    ) -> Option<ServerId> {
         let Eligible { near, far, .. } = &self.eligible;
         if near.is_empty() && far.is_empty() || rng.random::<f64>() >= LOOK_SHARE {
             return None;
@@ -302,27 +341,36 @@
         let id = *near.get(self.turn).or_else(|| far.get(self.turn - near.len()))?;
         let server = self.servers.get(id)?;
         let old = server.measured().is_none_or(|measured| now - measured >= LOOK_AGE_MS);
-        let free = server.standing == Standing::In && self.has_room(server) && !tried.contains(&id);
+        let free = server.is_open(part) && self.has_room(server) && !tried.contains(&id);
         (old && free).then_some(id)
     }
 
     /// The best of a few candidates.
-    fn drawn(&self, now: f64, work: f64, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+    fn drawn(
+        &self,
+        now: f64,
+        work: f64,
+        part: f64,
+        tried: &[ServerId],
+        rng: &mut impl Rng,
+    ) -> Option<ServerId> {
         let fit = |id: ServerId| {
             let server = self.servers.get(id).filter(|server| self.has_room(server))?;
             let usual = self.level.unwrap_or(0.0).exp() * work;
             let quick = (usual / self.cost(id, now, work)).clamp(LEAST_WANTED, 1.0);
-            (server.standing == Standing::In && !tried.contains(&id)).then_some(server.spec.weight * quick)
+            (server.is_open(part) && !tried.contains(&id)).then_some(server.spec.weight * quick)
         };
         let drawn = self.eligible.draw(rng, fit);
         self.cheapest(drawn, now, work)
     }
 
-    /// The best of all that have room: those in force before those that are out, and before those tried already.
-    fn any(&self, now: f64, work: f64, tried: &[ServerId]) -> Option<ServerId> {
-        let with_room = || self.servers.iter().filter(|(_, server)| self.has_room(server));
+    /// The best of all that have room: those in force before those that are out here, and before those tried already.
+    /// What the fleet has removed gets none.
+    fn any(&self, now: f64, work: f64, part: f64, tried: &[ServerId]) -> Option<ServerId> {
+        let with_room =
+            || self.servers.iter().filter(|(_, server)| self.has_room(server) && !server.is_removed());
         let fresh = || with_room().filter(|(id, _)| !tried.contains(id));
-        let within = fresh().filter(|(_, server)| server.standing == Standing::In).map(|(id, _)| id);
+        let within = fresh().filter(|(_, server)| server.is_open(part)).map(|(id, _)| id);
         self.cheapest(within, now, work)
             .or_else(|| self.cheapest(fresh().map(|(id, _)| id), now, work))
             .or_else(|| self.cheapest(with_room().map(|(id, _)| id), now, work))
@@ -477,11 +525,14 @@
                 server.standing = Standing::Trial { left: TRIALS, times, since: now };
             }
         }
+        self.take_shares();
         self.put_out(now);
         let zone = &self.options.zone;
         let mut eligible = Eligible::default();
         for (id, server) in &self.servers {
             match server.standing {
+                _ if server.share == Share::Trial => eligible.trial.push(id),
+                _ if server.is_removed() => continue,
                 Standing::Out { .. } => continue,
                 Standing::Trial { .. } => eligible.trial.push(id),
                 Standing::In if server.spec.zone == *zone => eligible.near.push(id),
@@ -497,13 +548,13 @@
         if room == 0 {
             return;
         }
-        let measured =
-            self.servers.iter().filter(|(_, server)| server.standing == Standing::In).map(|(id, server)| {
-                let (failed, calls) = server.judged.failures.counts(now);
-                let variance = server.judged.times.variance().unwrap_or(USUAL_VARIANCE);
-                let (mean, samples) = (server.judged.times.mean(), server.judged.times.weight(now));
-                Measured { id, mean, variance, samples, failed, calls }
-            });
+        let here = |server: &Server| server.standing == Standing::In && !server.is_removed();
+        let measured = self.servers.iter().filter(|(_, server)| here(server)).map(|(id, server)| {
+            let (failed, calls) = server.judged.failures.counts(now);
+            let variance = server.judged.times.variance().unwrap_or(USUAL_VARIANCE);
+            let (mean, samples) = (server.judged.times.mean(), server.judged.times.weight(now));
+            Measured { id, mean, variance, samples, failed, calls }
+        });
         let measured: Vec<_> = measured.collect();
         for id in outliers(&measured).into_iter().take(room) {
             if let Some(server) = self.servers.get_mut(id) {
@@ -585,9 +636,10 @@
         told.take(room).for_each(|(_, server)| server.standing = standing);
     }
 
-    /// How many more servers may be put out.
+    /// How many more servers may be put out; those that the fleet has removed are out as well.
     fn room_to_put_out(&self) -> usize {
-        let away = self.servers.values().filter(|server| server.standing != Standing::In).count();
+        let away = |server: &&Server| server.standing != Standing::In || server.is_removed();
+        let away = self.servers.values().filter(away).count();
         ((self.servers.len() as f64 * self.options.most_out) as usize).saturating_sub(away)
     }
 
--- a/src/route/server.rs
+++ b/src/route/server.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::estimate::{Mean, Rate};
+use crate::verdict::list::Share;
 
 slotmap::new_key_type! {
     /// Names a server for as long as it is in the pool; one that comes back later has a new name.
@@ -92,6 +93,8 @@
     /// Failures since the last call that went well.
     pub(super) streak: u32,
     pub(super) standing: Standing,
+    /// What the fleet gives it of its usual share.
+    pub(super) share: Share,
 }
 
 impl Server {
@@ -105,9 +108,21 @@
             refused_since: None,
             streak: 0,
             standing: Standing::In,
+            share: Share::Part(1.0),
         }
     }
 
+    /// Whether the fleet has taken it out, or lets only trial calls go there.
+    pub(super) fn is_removed(&self) -> bool {
+        matches!(self.share, Share::Trial | Share::Part(0.0))
+    }
+
+    /// Whether calls may go there as to any other, by what this node knows and by a number from 0 to 1 that is drawn
+    /// for the call, of which a server on its way back takes a part.
+    pub(super) fn is_open(&self, drawn: f64) -> bool {
+        self.standing == Standing::In && matches!(self.share, Share::Part(part) if drawn < part)
+    }
+
     /// Whether a word of the server on its start is of another one than is known.
     pub(super) fn is_another(&self, told: Start) -> bool {
         match (self.start, told) {
--- /dev/null
+++ b/src/verdict/door.rs
@@ -0,0 +1,82 @@
+//! Where a node hears others: one question and its answer on each connection.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::debug;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::evidence::Voter;
+use super::part::Seat;
+use super::wire::{Answer, Holder, PATIENCE, QUESTION_BYTES, Said, What, receive, send};
+use crate::fleet::view::Node;
+
+/// Connections served at once; further ones wait.
+const ROOM: usize = 64;
+/// Time until a connection is accepted again after one could not be.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// Answers for as long as the node runs.
+pub(super) async fn open(listener: TcpListener, seat: Rc<Seat>) {
+    let mut open = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept(), if open.len() < ROOM => match accepted {
+                Ok((stream, from)) => {
+                    open.spawn_local(timeout(PATIENCE, connection(stream, from, seat.clone())));
+                }
+                Err(problem) => {
+                    debug!("no connection can be accepted: {problem}");
+                    sleep(AGAIN).await;
+                }
+            },
+            Some(_) = open.join_next() => {}
+        }
+    }
+}
+
+async fn connection(mut stream: TcpStream, from: SocketAddr, seat: Rc<Seat>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let said: Said = receive(&mut stream, QUESTION_BYTES).await?;
+    let answer = answer(&seat, from, said);
+    // A list is an effect of the duty: the lease was looked at just now, and whoever gets the list knows its number.
+    send(&mut stream, &answer).await
+}
+
+fn answer(seat: &Seat, from: SocketAddr, said: Said) -> Answer {
+    // Machine and zone are those of the view, and the name is believed from its address alone.
+    let known = seat.node(&said.from).filter(|node| node.applicant.address.ip() == from.ip());
+    let Some(node) = known else {
+        debug!("verdicts: {} is not known at {from}", said.from);
+        return Answer::Refused(format!("{} does not belong to the fleet at {}", said.from, from.ip()));
+    };
+    match &said.what {
+        What::Holds { fence, best } => {
+            match seat.hear_of(Holder { fence: *fence, name: node.applicant.name }) {
+                Ok(()) => Answer::Known(seat.list_above(*best)),
+                Err(seen) => Answer::Passed(seen),
+            }
+        }
+        What::Evidence { .. } => count(seat, &node, &said),
+    }
+}
+
+fn count(seat: &Seat, node: &Node, said: &Said) -> Answer {
+    let What::Evidence { evidence, trials, have } = &said.what else { return Answer::Elsewhere(None) };
+    let applicant = &node.applicant;
+    let voter = Voter {
+        name: applicant.name.clone(),
+        machine: applicant.machine.clone(),
+        zone: applicant.zone.clone(),
+    };
+    match seat.counting.borrow_mut().as_mut() {
+        Some(counting) if counting.may() => {
+            counting.hear(seat.now(), &voter, said.life, evidence, trials, *have)
+        }
+        _ => Answer::Elsewhere(seat.holder().filter(|holder| holder.name != seat.options.name)),
+    }
+}
--- a/src/verdict/evidence.rs
+++ b/src/verdict/evidence.rs
@@ -134,6 +134,12 @@
 }
 
 impl Evidence {
+    /// Makes it so much older: what was sent and not answered is sent again as what it is.
+    pub fn age(&mut self, by_ms: f64) {
+        let by_ms = by_ms.clamp(0.0, f64::from(u32::MAX)) as u32;
+        self.items.iter_mut().for_each(|item| item.age_ms = item.age_ms.saturating_add(by_ms));
+    }
+
     /// Holds every figure to what calls can come to. One that cannot be discredits the whole.
     ///
     /// # Errors
@@ -217,8 +223,8 @@
 }
 
 impl Recorder {
-    /// Notes the end of a call.
-    pub fn note(&mut self, now: f64, call: &Call) {
+    /// Notes the end of a call, and says what it counts as.
+    pub fn note(&mut self, now: f64, call: &Call) -> Counts {
         let class = usize::from(call.class).min(CLASSES - 1);
         let mut counts = Counts { calls: 1, failed: u32::from(call.failed), ..Counts::default() };
         let cold = call.life.is_some_and(|life| f64::from(life.up_ms) < COLD_MS);
@@ -237,6 +243,7 @@
         if self.waiting.len() > MOST_WAITING {
             self.waiting.pop_first();
         }
+        counts
     }
 
     /// What is to be sent next, the oldest first; the rest waits for the next message.
--- /dev/null
+++ b/src/verdict/holder.rs
@@ -0,0 +1,256 @@
+//! The task that counts while this node has the duty: it finds the latest list, says to all who counts, and moves the
+//! list on each second.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, info, warn};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
+
+use super::cap::Reason;
+use super::count::Scope;
+use super::evidence::{Evidence, EvidenceError, SLOT_MS, Voter};
+use super::holding::{Changes, Holding};
+use super::keeper::Trial;
+use super::list::{List, Listed, Number, Stage, Why};
+use super::part::{Evident, Report, Seat};
+use super::wire::{Answer, Said, What, say};
+use crate::duty::{Held, Lost};
+
+/// How long the latest list is asked for at the most, before the one that is known is taken up.
+const GATHER: Duration = Duration::from_secs(2);
+/// Nodes that are told at once.
+const AT_ONCE: usize = 16;
+
+/// The count while this node has the duty.
+pub(super) struct Counting {
+    held: Rc<Held>,
+    holding: Holding,
+}
+
+impl Counting {
+    /// Whether the duty may be acted under now.
+    pub(super) fn may(&self) -> bool {
+        self.held.check().is_ok()
+    }
+
+    /// Takes what a voter says, and answers it.
+    pub(super) fn hear(
+        &mut self,
+        now: f64,
+        voter: &Voter,
+        life: u64,
+        evidence: &Evidence,
+        trials: &[(SocketAddr, Trial)],
+        have: Number,
+    ) -> Answer {
+        match self.holding.hear(now, voter, life, evidence, trials) {
+            // It came already, and the answer was lost.
+            Ok(()) | Err(EvidenceError::Again { .. }) => {}
+            Err(problem) => {
+                warn!("verdicts: nothing that {} says counts: {problem}", voter.name);
+                return Answer::Refused(problem.to_string());
+            }
+        }
+        let number = self.holding.number();
+        let list = (have != number).then(|| self.holding.list());
+        Answer::Counted { number, list, ill: self.holding.ill().contains(&voter.machine) }
+    }
+
+    /// Adds what only the one that counts can show.
+    pub(super) fn show(&self, now: f64, within: f64, report: &mut Report) {
+        let (voters, newest) = self.holding.voters(now, within);
+        report.counts = self.may();
+        report.evidence = Some(Evident { voters, newest_ms: newest.map(|ms| ms as u64) });
+        report.kept = self.holding.kept().to_vec();
+        report.ill_machines = self.holding.ill().iter().cloned().collect();
+    }
+}
+
+/// Counts each time that the duty is given.
+pub(super) async fn hold(seat: Rc<Seat>, mut given: mpsc::Receiver<Held>) {
+    while let Some(held) = given.recv().await {
+        let held = Rc::new(held);
+        let asked = tokio::select! {
+            asked = count(&seat, &held) => asked,
+            lost = held.lost() => Err(lost),
+        };
+        let number = seat.counting.take().map(|counting| counting.holding.number());
+        seat.publish();
+        match asked {
+            Ok(()) => hand_on(held, number).await,
+            Err(lost) => info!("verdicts: {lost}"),
+        }
+    }
+}
+
+/// The next holder is told the number of the last list: it looks for no later one.
+async fn hand_on(held: Rc<Held>, number: Option<Number>) {
+    let Ok(held) = Rc::try_unwrap(held) else { return };
+    let state = number.and_then(|number| serde_json::to_vec(&number).ok()).unwrap_or_default();
+    if let Err(length) = held.hand_on(state).await {
+        warn!("a state of {length} bytes is not handed on");
+    }
+}
+
+/// Counts until the duty is to be handed on.
+async fn count(seat: &Rc<Seat>, held: &Rc<Held>) -> Result<(), Lost> {
+    let fence = held.check()?.number;
+    let last = gather(seat, held).await;
+    held.check()?;
+    let told = last.as_ref().map(|list| (list.number.fence, list.number.sequence, list.entries.len()));
+    info!("verdicts: this node counts under number {fence}, from list {told:?}");
+    let holding = Holding::begin(seat.now(), fence, last.as_ref());
+    seat.counting.replace(Some(Counting { held: held.clone(), holding }));
+    tokio::select! {
+        () = turns(seat, held) => {}
+        () = announce(seat, held) => {}
+        () = held.to_hand_on() => {}
+    }
+    Ok(())
+}
+
+/// Moves the list on each second.
+async fn turns(seat: &Seat, held: &Held) {
+    let mut ticks = interval(Duration::from_secs_f64(SLOT_MS / 1000.0));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut done = 0;
+    loop {
+        ticks.tick().await;
+        let (_, within) = seat.period();
+        let terms = seat.options.terms.borrow().clone();
+        let changes = seat
+            .counting
+            .borrow_mut()
+            .as_mut()
+            .map(|counting| counting.holding.turn(seat.now(), &terms, within));
+        if let Some(changes) = changes {
+            tell(&changes);
+        }
+        done += 1;
+        held.progress(done);
+        seat.publish();
+    }
+}
+
+/// Says to every node that was not heard lately who counts, again and again.
+async fn announce(seat: &Rc<Seat>, held: &Held) {
+    loop {
+        let (every, within) = seat.period();
+        sleep(Duration::from_secs_f64(every / 1000.0)).await;
+        let now = seat.now();
+        let heard = |name: &String| {
+            let counting = seat.counting.borrow();
+            counting.as_ref().is_some_and(|counting| counting.holding.hears(now, name, within))
+        };
+        let silent = seat.names().into_iter().filter(|name| !heard(name)).collect();
+        claim(seat, held, silent, None, None).await;
+    }
+}
+
+/// The latest list of all nodes that answer. Where the one before has told its number, no longer than until it is found.
+async fn gather(seat: &Rc<Seat>, held: &Held) -> Option<List> {
+    let handed: Option<Number> = serde_json::from_slice(held.state()).ok();
+    let own = seat.list_above(Number::default());
+    claim(seat, held, seat.names(), own, Some((Instant::now() + GATHER, handed))).await
+}
+
+/// Says to these who counts, and returns the highest list that is known then.
+async fn claim(
+    seat: &Rc<Seat>,
+    held: &Held,
+    names: Vec<String>,
+    mut best: Option<List>,
+    gathers: Option<(Instant, Option<Number>)>,
+) -> Option<List> {
+    let mut names = VecDeque::from(names);
+    let mut asked = JoinSet::new();
+    let until = gathers.map_or(Instant::now() + GATHER, |(until, _)| until);
+    let wanted = gathers.and_then(|(_, handed)| handed);
+    loop {
+        while asked.len() < AT_ONCE
+            && let Ok(fence) = held.check()
+            && let Some(name) = names.pop_front()
+        {
+            let above = best.as_ref().map_or(Number::default(), |list| list.number);
+            asked.spawn_local(tell_one(seat.clone(), fence.number, name, above));
+        }
+        let enough = wanted.is_some_and(|number| best.as_ref().is_some_and(|list| list.number >= number));
+        match timeout_at(until, asked.join_next()).await {
+            Ok(Some(Ok(Some(list)))) if best.as_ref().is_none_or(|best| list.number > best.number) => {
+                best = Some(list);
+            }
+            Ok(Some(_)) if !(enough && names.is_empty()) => {}
+            _ => return best,
+        }
+    }
+}
+
+/// Says to one who counts; the list that it has, where that is a higher one.
+async fn tell_one(seat: Rc<Seat>, fence: u64, name: String, best: Number) -> Option<List> {
+    let node = seat.node(&name)?;
+    let said = Said { from: seat.options.name.clone(), life: seat.life, what: What::Holds { fence, best } };
+    match say(seat.address_of(&node), seat.from(), &said).await {
+        Ok(Answer::Known(list)) => list,
+        Ok(Answer::Passed(seen)) => {
+            warn!("verdicts: {name} has seen number {seen}, past {fence}");
+            None
+        }
+        Ok(other) => {
+            debug!("verdicts: {name} answers {other:?}");
+            None
+        }
+        Err(problem) => {
+            debug!("verdicts: {name} is not reached: {problem}");
+            None
+        }
+    }
+}
+
+/// One line of the log a change.
+fn tell(changes: &Changes) {
+    for Listed { server, scope, stage, times, why, .. } in &changes.listed {
+        let whom = whom(scope);
+        let stage = match stage {
+            Stage::Out => "out".to_owned(),
+            Stage::Trial(nodes) => format!("tried by {}", nodes.join(", ")),
+            Stage::Step(percent) => format!("back with {percent}%"),
+        };
+        match why {
+            Why::Votes(found) => info!(
+                "verdicts: {server} is {stage} for {whom}, time {times}: kind={:?} bad={} calls={} machines={} span_s={} evidence={:.1}",
+                found.kind, found.bad, found.calls, found.voters, found.span, found.evidence
+            ),
+            Why::Operator => info!("verdicts: {server} is {stage} for {whom}: an operator says so"),
+        }
+    }
+    for Listed { server, scope, .. } in &changes.back {
+        info!("verdicts: {server} is in again for {}", whom(scope));
+    }
+    for kept in &changes.kept {
+        let (server, whom) = (kept.outlier.server, whom(&kept.outlier.scope));
+        let why = match &kept.reason {
+            Reason::Operator => "an operator says so".to_owned(),
+            Reason::ManyAtOnce { group, standing_out, of } => {
+                format!("{standing_out} of {of} of {group} stand out, which is no server's fault")
+            }
+            Reason::Cap { group } => format!("no more of {group} may be out"),
+            Reason::Unknown => "it is no server of this fleet".to_owned(),
+        };
+        warn!("verdicts: {server} stands out for {whom} and stays: {why}");
+    }
+    for machine in &changes.ill {
+        warn!("verdicts: {machine} finds most servers bad, and counts for nothing");
+    }
+}
+
+fn whom(scope: &Scope) -> String {
+    match scope {
+        Scope::Everywhere => "all".to_owned(),
+        Scope::Zone(zone) => format!("zone {zone}"),
+    }
+}
--- /dev/null
+++ b/src/verdict/holding.rs
@@ -0,0 +1,198 @@
+//! What the node that counts has while it has the duty: the evidence, the list, and who was heard when. No I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::cap::{Limits, Member, Reason, Word, decide};
+use super::count::{Findings, Outlier, Rules, judge};
+use super::evidence::{Book, Evidence, EvidenceError, SLOT_MS, SLOTS, Voter};
+use super::keeper::{Keeper, Trial};
+use super::list::{List, Listed, Number};
+
+/// What a server does from so long before an operator says that it is in work until so long after is forgiven, in ms.
+const WORK_BEFORE_MS: f64 = 5_000.0;
+const WORK_AFTER_MS: f64 = 30_000.0;
+
+/// What operators set for those that count.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// The servers.
+    pub members: Vec<Member>,
+    /// What is said of some.
+    pub words: BTreeMap<SocketAddr, Word>,
+    /// Those that are being worked on.
+    pub in_work: BTreeSet<SocketAddr>,
+    /// How many may be out.
+    pub limits: Limits,
+    /// How it is counted.
+    pub rules: Rules,
+}
+
+/// One voter as the holder heard it last.
+#[derive(Clone, Debug)]
+struct Heard {
+    life: u64,
+    zone: String,
+    at: f64,
+}
+
+/// A server that stands out and stays.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// What was found.
+    pub outlier: Outlier,
+    /// Why it stays.
+    pub reason: Reason,
+}
+
+/// What has changed with one turn.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// Lines that are new, or other than they were.
+    pub listed: Vec<Listed>,
+    /// Lines that are gone: the server is back.
+    pub back: Vec<Listed>,
+    /// Servers that stand out since now, and stay.
+    pub kept: Vec<Kept>,
+    /// Machines that find most servers bad since now.
+    pub ill: Vec<String>,
+}
+
+/// All that a holder has.
+#[derive(Clone, Debug)]
+pub struct Holding {
+    book: Book,
+    keeper: Keeper,
+    heard: BTreeMap<String, Heard>,
+    /// Since when each server is in work, in ms.
+    in_work: BTreeMap<SocketAddr, f64>,
+    began: f64,
+    findings: Findings,
+    kept: Vec<Kept>,
+}
+
+impl Holding {
+    /// Begins under a duty's number with the latest list that is known.
+    pub fn begin(now: f64, fence: u64, last: Option<&List>) -> Self {
+        Self {
+            book: Book::default(),
+            keeper: Keeper::begin(now, fence, last),
+            heard: BTreeMap::new(),
+            in_work: BTreeMap::new(),
+            began: now,
+            findings: Findings::default(),
+            kept: Vec::new(),
+        }
+    }
+
+    /// The list as it stands.
+    pub fn list(&self) -> List {
+        self.keeper.list()
+    }
+
+    /// Its number.
+    pub fn number(&self) -> Number {
+        self.keeper.number()
+    }
+
+    /// Servers that stand out and stay.
+    pub fn kept(&self) -> &[Kept] {
+        &self.kept
+    }
+
+    /// Machines that find most servers bad.
+    pub fn ill(&self) -> &BTreeSet<String> {
+        &self.findings.ill
+    }
+
+    /// Voters that were heard in the last `within` ms, and how long ago the last of them was, in ms.
+    pub fn voters(&self, now: f64, within: f64) -> (usize, Option<f64>) {
+        let ages = || self.heard.values().map(|heard| now - heard.at);
+        (ages().filter(|age| *age <= within).count(), ages().min_by(f64::total_cmp))
+    }
+
+    /// Whether a node was heard in the last `within` ms.
+    pub fn hears(&self, now: f64, node: &str, within: f64) -> bool {
+        self.heard.get(node).is_some_and(|heard| now - heard.at <= within)
+    }
+
+    /// Takes what a voter says. `life` changes with each start of its process.
+    ///
+    /// # Errors
+    /// Nothing of its evidence counts, for the reason given.
+    pub fn hear(
+        &mut self,
+        now: f64,
+        voter: &Voter,
+        life: u64,
+        evidence: &Evidence,
+        trials: &[(SocketAddr, Trial)],
+    ) -> Result<(), EvidenceError> {
+        if self.heard.get(&voter.name).is_some_and(|heard| heard.life != life) {
+            self.book.reborn(&voter.name);
+        }
+        self.book.take(now, voter, evidence)?;
+        let heard = Heard { life, zone: voter.zone.clone(), at: now };
+        self.heard.insert(voter.name.clone(), heard);
+        trials.iter().for_each(|(server, trial)| self.keeper.tried(*server, &voter.name, *trial));
+        Ok(())
+    }
+
+    /// Counts, and moves the list on. Those heard in the last `within` ms may try servers.
+    pub fn turn(&mut self, now: f64, terms: &Terms, within: f64) -> Changes {
+        let (before, ill) = (self.keeper.list(), self.findings.ill.clone());
+        self.forgive(now, &terms.in_work);
+        self.book.expire(now);
+        self.keeper.words(now, terms.words.clone());
+        self.findings = judge(&self.book, now, &terms.rules);
+        let outliers = &self.findings.outliers;
+        self.keeper.relapse(now, outliers);
+        let gone = self.keeper.gone(now);
+        let decision = decide(&terms.members, &gone, outliers, &terms.words, &terms.limits, &terms.rules);
+        // No evidence removes twice.
+        decision.remove.iter().for_each(|outlier| self.book.forget(outlier.server));
+        self.keeper.remove(now, &decision);
+        let near = self.heard.iter().filter(|(_, heard)| now - heard.at <= within);
+        let nodes: Vec<(String, String)> =
+            near.map(|(name, heard)| (name.clone(), heard.zone.clone())).collect();
+        self.keeper.step(now, &nodes);
+        let kept = decision.kept.into_iter().map(|(outlier, reason)| Kept { outlier, reason });
+        let kept = std::mem::replace(&mut self.kept, kept.collect());
+        self.changes(&before, &kept, &ill)
+    }
+
+    fn forgive(&mut self, now: f64, in_work: &BTreeSet<SocketAddr>) {
+        self.in_work.retain(|server, _| in_work.contains(server));
+        // What was said before this holder began may have been said long ago.
+        let since =
+            if now - self.began < SLOT_MS { now - SLOTS as f64 * SLOT_MS } else { now - WORK_BEFORE_MS };
+        for server in in_work {
+            let since = *self.in_work.entry(*server).or_insert(since);
+            self.book.forgive(*server, since, now + WORK_AFTER_MS);
+        }
+    }
+
+    fn changes(&self, before: &List, kept: &[Kept], ill: &BTreeSet<String>) -> Changes {
+        let after = self.keeper.list();
+        let same_line = |one: &Listed, other: &Listed| one.server == other.server && one.scope == other.scope;
+        let stays = |one: &Kept| {
+            let same = |other: &Kept| {
+                one.outlier.server == other.outlier.server && one.outlier.scope == other.outlier.scope
+            };
+            kept.iter().any(same)
+        };
+        Changes {
+            back: before
+                .entries
+                .iter()
+                .filter(|one| !after.entries.iter().any(|other| same_line(one, other)))
+                .cloned()
+                .collect(),
+            listed: after.entries.into_iter().filter(|one| !before.entries.contains(one)).collect(),
+            kept: self.kept.iter().filter(|one| !stays(one)).cloned().collect(),
+            ill: self.findings.ill.difference(ill).cloned().collect(),
+        }
+    }
+}
--- a/src/verdict/keeper.rs
+++ b/src/verdict/keeper.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use super::cap::{Decision, Gone, Word};
 use super::count::{Outlier, Scope};
 use super::list::{List, Listed, MOST_ENTRIES, Number, Stage, Why};
@@ -32,7 +34,7 @@
 type Key = (SocketAddr, Scope);
 
 /// What a tester's calls have shown so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trial {
     /// Trial calls.
     pub calls: u32,
@@ -88,6 +90,11 @@
         }
     }
 
+    /// The number of the list.
+    pub fn number(&self) -> Number {
+        self.number
+    }
+
     /// The list as it stands.
     pub fn list(&self) -> List {
         let entries = self.held.values().map(|held| {
--- a/src/verdict/list.rs
+++ b/src/verdict/list.rs
@@ -1,12 +1,13 @@
 //! Numbered lists of what is removed, and how nodes apply them: never one that is older than what they have seen.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::cap::Word;
-use super::count::{Outlier, Scope};
+use super::count::{Kind, Outlier, Scope};
 
 /// Entries of a list at the most.
 pub const MOST_ENTRIES: usize = 4096;
@@ -98,6 +99,20 @@
     Trial,
 }
 
+/// What a listed server gets from one node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Given {
+    /// How much.
+    pub share: Share,
+    /// In what trial calls are to find it well.
+    pub kind: Kind,
+    /// How often in a row it went: trial calls of another time tell nothing of this one.
+    pub times: u32,
+}
+
+/// What all listed servers get from one node.
+pub type Shares = BTreeMap<SocketAddr, Given>;
+
 /// What a node has of lists.
 #[derive(Clone, Debug, Default)]
 pub struct Guard {
@@ -152,6 +167,11 @@
         same
     }
 
+    /// How long ago the holder was last heard to have no later list, in ms; none before the first.
+    pub fn heard_ms(&self, now: f64) -> Option<f64> {
+        self.list.as_ref().map(|_| now - self.heard)
+    }
+
     /// The list in force; none once the holder was not heard for [`KEEP_MS`].
     pub fn in_force(&self, now: f64) -> Option<&List> {
         self.list.as_ref().filter(|_| now - self.heard <= KEEP_MS)
@@ -159,22 +179,55 @@
 
     /// What a server gets from the node of this name and zone.
     pub fn share(&self, now: f64, server: SocketAddr, node: &str, zone: &str) -> Share {
-        let touches = |listed: &&Listed| {
-            listed.server == server
-                && (listed.scope == Scope::Everywhere || listed.scope == Scope::Zone(zone.into()))
+        let listed = self.in_force(now).into_iter().flat_map(|list| &list.entries);
+        let shares = listed
+            .filter(|listed| listed.server == server)
+            .filter_map(|listed| Some(listed.given(node, zone)?.share));
+        shares.min_by(|a, b| a.rank().total_cmp(&b.rank())).unwrap_or(Share::Part(1.0))
+    }
+
+    /// What every server gets that is listed for the node of this name and zone; all others get their whole share.
+    pub fn shares(&self, now: f64, node: &str, zone: &str) -> Shares {
+        let mut shares = Shares::new();
+        for listed in self.in_force(now).into_iter().flat_map(|list| &list.entries) {
+            let Some(given) = listed.given(node, zone) else { continue };
+            let least = shares.entry(listed.server).or_insert(given);
+            if given.share.rank() < least.share.rank() {
+                *least = given;
+            }
+        }
+        shares
+    }
+}
+
+impl Listed {
+    /// What the node of this name and zone gives the server; none where the line is not for it.
+    fn given(&self, node: &str, zone: &str) -> Option<Given> {
+        let touched = match &self.scope {
+            Scope::Everywhere => true,
+            Scope::Zone(of) => of == zone,
         };
-        let listed = self.in_force(now).into_iter().flat_map(|list| &list.entries).filter(touches);
-        let shares = listed.map(|listed| match &listed.stage {
+        let share = match &self.stage {
             Stage::Out => Share::Part(0.0),
             Stage::Trial(nodes) if nodes.iter().any(|name| name == node) => Share::Trial,
             Stage::Trial(_) => Share::Part(0.0),
             Stage::Step(percent) => Share::Part(f64::from(*percent).min(100.0) / 100.0),
-        });
-        let rank = |share: &Share| match share {
-            Share::Part(part) if *part == 0.0 => 0.0,
-            Share::Trial => 0.001,
-            Share::Part(part) => *part,
         };
-        shares.min_by(|a, b| rank(a).total_cmp(&rank(b))).unwrap_or(Share::Part(1.0))
+        let kind = match &self.why {
+            Why::Votes(outlier) => outlier.kind,
+            Why::Operator => Kind::Failing,
+        };
+        touched.then_some(Given { share, kind, times: self.times })
+    }
+}
+
+impl Share {
+    /// A trial is more than nothing, and less than any part.
+    fn rank(&self) -> f64 {
+        match self {
+            Self::Part(part) if *part == 0.0 => 0.0,
+            Self::Trial => 0.001,
+            Self::Part(part) => *part,
+        }
     }
 }
--- a/src/verdict/mod.rs
+++ b/src/verdict/mod.rs
@@ -7,12 +7,20 @@
 //! ([`sequential`]), under a bound on liars. [`cap::decide`] holds that to what may be removed at all, and
 //! [`keeper::Keeper`] makes numbered lists of it, which every node applies through a [`list::Guard`].
 //!
-//! No I/O and no clock: times are ms of a clock that never runs backwards, and what crosses the wire is ages. That one
-//! node counts at a time is a duty's business: its number is an argument.
+//! These decide without I/O and clock: times are ms of a clock that never runs backwards, and what crosses the wire is
+//! ages. That one node counts at a time is a duty's business: its number is an argument. [`part`] has the tasks: on a
+//! thread of its own each node sends its evidence, hears who counts and applies lists, and counts while it has the duty.
 
 pub mod cap;
 pub mod count;
+mod door;
 pub mod evidence;
+mod holder;
+pub mod holding;
 pub mod keeper;
+pub mod kept;
 pub mod list;
+pub mod part;
 pub mod sequential;
+mod voter;
+pub mod wire;
--- /dev/null
+++ b/src/verdict/part.rs
@@ -0,0 +1,291 @@
+//! A node's part in the votes: a thread of its own, on which it says what its calls have shown, hears who counts, applies
+//! lists, and counts itself while it has the duty. The serving core only notes its calls and follows the shares.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use log::{error, info, warn};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::evidence::{Evidence, send_every_ms};
+use super::holder::Counting;
+use super::holding::{Kept, Terms};
+use super::keeper::Trial;
+use super::kept::{KeepError, KeptGuard};
+use super::list::{List, Listed, Number, Shares};
+use super::wire::Holder;
+use super::{door, holder, voter};
+use crate::duty::Held;
+use crate::duty::lease::now_ms;
+use crate::fleet::view::{Node, View};
+
+/// Periods in which a voter that is there is heard.
+const HEARD_PERIODS: f64 = 3.0;
+
+/// What a node notes of its calls, to be sent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Noted {
+    /// All of them.
+    pub evidence: Evidence,
+    /// Those to servers that it is to try.
+    pub trials: Vec<(SocketAddr, Trial)>,
+}
+
+/// Asks the serving core for what it has noted.
+pub type Asks = mpsc::Sender<oneshot::Sender<Noted>>;
+
+/// What the part is given.
+pub struct Options {
+    /// The node's name.
+    pub name: String,
+    /// Its zone in the fleet.
+    pub zone: String,
+    /// The address that it listens at and asks from.
+    pub listen: SocketAddr,
+    /// Where the number of the latest list is kept.
+    pub file: Option<PathBuf>,
+    /// What operators set.
+    pub terms: watch::Receiver<Terms>,
+    /// What the serving core has noted.
+    pub asks: Asks,
+    /// What the serving core gives the servers.
+    pub shares: watch::Sender<Shares>,
+    /// What is shown.
+    pub shown: watch::Sender<Report>,
+}
+
+/// What is known of the evidence where it is counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evident {
+    /// Nodes that sent some in the last three periods.
+    pub voters: usize,
+    /// How long ago the last of it came, in ms.
+    pub newest_ms: Option<u64>,
+}
+
+/// What a node shows of the votes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Whether it counts.
+    pub counts: bool,
+    /// Who counts, as it was told last.
+    pub holder: Option<Holder>,
+    /// The number of the list that it follows.
+    pub list: Number,
+    /// How long ago that was confirmed, in ms; none before the first list.
+    pub heard_ms: Option<u64>,
+    /// Whether the list is in force: not after 120 s without a word of the one that counts.
+    pub in_force: bool,
+    /// The list.
+    pub entries: Vec<Listed>,
+    /// Whether this machine finds most servers bad, and counts for nothing.
+    pub ill: bool,
+    /// How long ago its own evidence was counted last, in ms.
+    pub evidence_ms: Option<u64>,
+    /// The evidence of all, where it counts.
+    pub evidence: Option<Evident>,
+    /// Servers that stand out and stay, where it counts.
+    pub kept: Vec<Kept>,
+    /// Machines that find most servers bad, where it counts.
+    pub ill_machines: Vec<String>,
+}
+
+/// Starts the part, once this process is the node's only one. `given` brings the end at which the duty comes.
+///
+/// # Errors
+/// The thread cannot be started. Anything later is logged.
+pub fn start(
+    options: Options,
+    view: watch::Receiver<View>,
+    mut alone: watch::Receiver<bool>,
+    given: oneshot::Receiver<mpsc::Receiver<Held>>,
+) -> io::Result<()> {
+    std::thread::Builder::new().name("verdicts".to_owned()).spawn(move || {
+        let serve = async {
+            match alone.wait_for(|alone| *alone).await {
+                Ok(_) => serve(options, view, given).await,
+                Err(_) => Ok(()),
+            }
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        if let Err(problem) = runtime.and_then(|rt| rt.block_on(LocalSet::new().run_until(serve))) {
+            error!("this node has no part in the votes: {problem}");
+        }
+    })?;
+    Ok(())
+}
+
+async fn serve(
+    options: Options,
+    view: watch::Receiver<View>,
+    given: oneshot::Receiver<mpsc::Receiver<Held>>,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(options.listen).await?;
+    info!("{} listens for votes on {}", options.name, listener.local_addr()?);
+    let guard = KeptGuard::open(options.file.clone())?;
+    let seat = Rc::new(Seat {
+        options,
+        view,
+        life: rand::rng().random(),
+        guard: RefCell::new(guard),
+        known: RefCell::default(),
+        counting: RefCell::default(),
+        own: RefCell::default(),
+        rung: Notify::new(),
+    });
+    spawn_local(door::open(listener, seat.clone()));
+    spawn_local(voter::vote(seat.clone()));
+    match given.await {
+        Ok(given) => holder::hold(seat, given).await,
+        // It takes no duties: it votes all the same.
+        Err(_) => std::future::pending().await,
+    }
+    Ok(())
+}
+
+/// How this node's own evidence fares.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Own {
+    pub(super) counted: Option<f64>,
+    pub(super) ill: bool,
+}
+
+/// What the tasks of the part share.
+pub(super) struct Seat {
+    pub(super) options: Options,
+    view: watch::Receiver<View>,
+    pub(super) life: u64,
+    guard: RefCell<KeptGuard>,
+    known: RefCell<Option<Holder>>,
+    /// While this node counts.
+    pub(super) counting: RefCell<Option<Counting>>,
+    pub(super) own: RefCell<Own>,
+    /// Rung when the evidence is to be sent now.
+    pub(super) rung: Notify,
+}
+
+impl Seat {
+    /// Time in ms, on a clock that goes on while the process is stopped.
+    pub(super) fn now(&self) -> f64 {
+        now_ms() as f64
+    }
+
+    /// The address that is asked from.
+    pub(super) fn from(&self) -> IpAddr {
+        self.options.listen.ip()
+    }
+
+    /// How often evidence is sent, in ms, and within how long a voter that is there is heard.
+    pub(super) fn period(&self) -> (f64, f64) {
+        let every = send_every_ms(self.view.borrow().len());
+        (every, every * HEARD_PERIODS)
+    }
+
+    /// A node as the fleet's view has it.
+    pub(super) fn node(&self, name: &str) -> Option<Node> {
+        self.view.borrow().get(name).cloned()
+    }
+
+    /// The names of all nodes.
+    pub(super) fn names(&self) -> Vec<String> {
+        self.view.borrow().nodes().map(|node| node.applicant.name.clone()).collect()
+    }
+
+    /// Where a node listens for votes: at the fleet's address of it, on the port that all have.
+    pub(super) fn address_of(&self, node: &Node) -> SocketAddr {
+        SocketAddr::new(node.applicant.address.ip(), self.options.listen.port())
+    }
+
+    /// Who counts, as it was told last.
+    pub(super) fn holder(&self) -> Option<Holder> {
+        self.known.borrow().clone()
+    }
+
+    /// Hears who counts. A lower number than one that was seen is turned down with that one.
+    pub(super) fn hear_of(&self, holder: Holder) -> Result<(), u64> {
+        let seen = self.guard.borrow().guard().seen().fence;
+        let seen = self.known.borrow().as_ref().map_or(seen, |known| known.fence.max(seen));
+        let known =
+            self.holder().is_some_and(|known| known.fence == holder.fence && known.name != holder.name);
+        if holder.fence < seen || known {
+            return Err(seen);
+        }
+        if self.known.borrow().as_ref() != Some(&holder) {
+            info!("verdicts: {} counts under number {}", holder.name, holder.fence);
+            self.known.replace(Some(holder));
+            self.rung.notify_one();
+        }
+        Ok(())
+    }
+
+    /// The number of the list that is in force here; none after a start, before the first list.
+    pub(super) fn have(&self) -> Number {
+        let guard = self.guard.borrow();
+        guard.guard().in_force(self.now()).map_or(Number::default(), |list| list.number)
+    }
+
+    /// The list in force, where it is a higher one than that.
+    pub(super) fn list_above(&self, number: Number) -> Option<List> {
+        let guard = self.guard.borrow();
+        guard.guard().in_force(self.now()).filter(|list| list.number > number).cloned()
+    }
+
+    /// Applies a list of the one that counts.
+    pub(super) fn accept(&self, list: &List) {
+        let accepted = self.guard.borrow_mut().accept(self.now(), list);
+        let Number { fence, sequence } = list.number;
+        match accepted {
+            Ok(true) => {
+                info!("verdicts: list {fence}.{sequence} is in force, with {} lines", list.entries.len());
+            }
+            Ok(false) => {}
+            Err(KeepError::List(problem)) => warn!("verdicts: a list is turned down: {problem}"),
+            Err(problem) => error!("verdicts: list {fence}.{sequence} is not applied: {problem}"),
+        }
+    }
+
+    /// The one that counts has no later list than this one.
+    pub(super) fn confirmed(&self, number: Number) {
+        self.guard.borrow_mut().confirmed(self.now(), number);
+    }
+
+    /// Lets the serving core and operators know how things stand.
+    pub(super) fn publish(&self) {
+        let now = self.now();
+        let guard = self.guard.borrow();
+        let guard = guard.guard();
+        let shares = guard.shares(now, &self.options.name, &self.options.zone);
+        self.options.shares.send_if_modified(|known| {
+            let changed = *known != shares;
+            if changed {
+                *known = shares;
+            }
+            changed
+        });
+        let ago = |at: f64| (now - at).max(0.0) as u64;
+        let list = guard.in_force(now);
+        let own = *self.own.borrow();
+        let mut report = Report {
+            counts: false,
+            holder: self.holder(),
+            list: guard.seen(),
+            heard_ms: guard.heard_ms(now).map(|ms| ms as u64),
+            in_force: list.is_some(),
+            entries: list.map(|list| list.entries.clone()).unwrap_or_default(),
+            ill: own.ill,
+            evidence_ms: own.counted.map(ago),
+            ..Report::default()
+        };
+        if let Some(counting) = self.counting.borrow().as_ref() {
+            counting.show(now, self.period().1, &mut report);
+        }
+        self.options.shown.send_replace(report);
+    }
+}
--- a/tests/rig/copies.rs
+++ b/tests/rig/copies.rs
@@ -84,6 +84,11 @@
         })
     }
 
+    /// Another stand-in is the processor of a node.
+    pub fn put(&self, n: usize, address: SocketAddr) {
+        self.at.lock().expect("a lock").insert(n, address);
+    }
+
     fn serve(&self, node: usize, link: TcpStream) -> Option<()> {
         let _ = link.set_nodelay(true);
         let back = Arc::new(Mutex::new(Back { link: link.try_clone().ok()?, seq: 0 }));
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -11,6 +11,7 @@
 pub mod schedule;
 pub mod sim;
 pub mod target;
+pub mod verdicts;
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- a/tests/rig/relay.rs
+++ b/tests/rig/relay.rs
@@ -11,7 +11,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -38,6 +38,8 @@
 
 /// The port that datagrams go to, on both sides.
 pub const DATAGRAMS: u16 = 7071;
+/// The port on which nodes vote. There a callee sees the address that the caller is known by.
+pub const VERDICTS: u16 = 7073;
 
 /// The relay, on a thread of its own.
 pub struct Relay {
@@ -78,6 +80,9 @@
                     let whole = SocketAddr::new(listener.local_addr().expect("an address").ip(), DATAGRAMS);
                     let whole = TcpListener::bind(whole).await.expect("a listener");
                     tokio::spawn(accept(n, whole, SocketAddrV4::new(*to.ip(), DATAGRAMS), shared.clone()));
+                    let votes = SocketAddr::new(listener.local_addr().expect("an address").ip(), VERDICTS);
+                    let votes = TcpListener::bind(votes).await.expect("a listener");
+                    tokio::spawn(accept(n, votes, SocketAddrV4::new(*to.ip(), VERDICTS), shared.clone()));
                     let at = SocketAddr::new(listener.local_addr().expect("an address").ip(), DATAGRAMS);
                     let listener = TcpListener::from_std(listener).expect("a listener");
                     tokio::spawn(accept(n, listener, to, shared.clone()));
@@ -156,7 +161,7 @@
     let carried = async {
         // A first packet that is lost opens nothing.
         let _ = links.wait_for(|links| !links.get(&(caller, called)).is_some_and(|link| link.cut)).await;
-        let Ok(there) = TcpStream::connect(to).await else { return };
+        let Ok(there) = connect(&stream, caller, to).await else { return };
         let (_, _) = (stream.set_nodelay(true), there.set_nodelay(true));
         let ((from_here, to_here), (from_there, to_there)) = (stream.into_split(), there.into_split());
         tokio::select! {
@@ -170,6 +175,18 @@
     }
 }
 
+/// A connection to who is called; where nodes vote, from the address that the caller is known by.
+async fn connect(from: &TcpStream, caller: usize, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let IpAddr::V4(known) = from.local_addr()?.ip()
+        && to.port() == VERDICTS
+    {
+        let [a, b, c, _] = known.octets();
+        socket.bind(SocketAddr::from(([a, b, c, caller as u8], 0)))?;
+    }
+    socket.connect(to).await
+}
+
 async fn pump(pair: (usize, usize), mut from: OwnedReadHalf, mut to: OwnedWriteHalf, shared: Shared) {
     let mut links = shared.links;
     let mut bytes = vec![0; 16 * 1024];
--- /dev/null
+++ b/tests/verdicts.rs
@@ -0,0 +1,454 @@
+//! Votes on servers with real processes: who is removed, for whom, how soon, and what of it holds when nodes are stopped,
+//! cut off, lie, or are told otherwise.
+
+mod rig;
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rig::verdicts::{Allowed, Broken, Call, IN_FORCE_MS, Seen, Site, StandIn, TAKES_MS, judge};
+use rig::{PATIENCE, Rig, until};
+use rstest::rstest;
+use sillflow::verdict::cap::{Limits, Member, Reason};
+use sillflow::verdict::count::{Kind, Outlier, Planted, Rules, Scope};
+use sillflow::verdict::evidence::{Counts, Evidence, Item, Life, Voter};
+use sillflow::verdict::holding::{Holding, Terms};
+use sillflow::verdict::keeper::OUT_MS;
+use sillflow::verdict::list::{List, Listed, Number, Stage, Why};
+use sillflow::verdict::wire::Answer;
+
+const NODES: usize = 6;
+/// A bad server is removed at every node within this, on a machine that is busy.
+const REMOVED: Duration = Duration::from_secs(60);
+/// So long nobody must be removed who is well.
+const WATCHED: Duration = Duration::from_secs(15);
+
+fn all() -> Vec<usize> {
+    (1..=NODES).collect()
+}
+
+/// Waits until each of these has the server listed for this scope.
+fn removed(rig: &Rig, site: &Site, these: &[usize], server: usize, scope: &Scope) -> Duration {
+    let at = site.address(server);
+    let took = until("it is removed everywhere", REMOVED, || {
+        these.iter().all(|n| rig.lists(*n, at).is_some_and(|listed| listed.scope == *scope))
+    });
+    eprintln!("removed at {} nodes after {took:?}", these.len());
+    took
+}
+
+/// Waits until a server has seen no call of these nodes for a while.
+fn left_alone(site: &Site, server: usize, these: &[usize]) {
+    until("nobody calls it", PATIENCE, || {
+        let now = site.now_ms();
+        std::thread::sleep(Duration::from_secs(1));
+        site.calls(server, now, these) == 0
+    });
+}
+
+/// Asks for the list now and then, so that it is judged.
+fn watch(rig: &Rig, site: &Site, asks: &mut StandIn, time: Duration) {
+    let until = site.now_ms() + time.as_millis() as u64;
+    while site.now_ms() < until {
+        let _ = asks.asks(rig, site, &all());
+        std::thread::sleep(Duration::from_millis(300));
+    }
+}
+
+fn a_fleet() -> (Rig, Site, StandIn) {
+    let mut site = Site::new(5, 3);
+    let rig = Rig::voting(NODES, &mut site);
+    (rig, site, StandIn::new(NODES + 1))
+}
+
+#[rstest]
+fn a_dead_server_is_removed_everywhere_and_comes_back_by_trial() {
+    let (rig, mut site, mut asks) = a_fleet();
+    site.ill(0, None);
+    site.servers[0].die();
+    removed(&rig, &site, &all(), 0, &Scope::Everywhere);
+    asks.asks(&rig, &site, &all()).expect("a list");
+    // It recovers while it is being removed: nobody calls it before its time is over.
+    site.servers[0].begin();
+    site.well(0);
+    left_alone(&site, 0, &all());
+    let at = site.address(0);
+    let mut tried = false;
+    until("it is back", Duration::from_millis(OUT_MS.0 as u64) + PATIENCE * 4, || {
+        let _ = asks.asks(&rig, &site, &all());
+        let stages: Vec<_> = all().iter().map(|n| rig.lists(*n, at).map(|one| one.stage)).collect();
+        tried |= stages.iter().flatten().any(|stage| matches!(stage, Stage::Trial(_)));
+        stages.iter().all(Option::is_none)
+    });
+    assert!(tried, "by trial");
+    let since = site.now_ms();
+    until("each calls it again", PATIENCE * 2, || all().iter().all(|n| site.calls(0, since, &[*n]) > 0));
+    site.holds();
+}
+
+#[rstest]
+fn a_server_that_one_zone_does_not_reach_is_removed_for_that_zone() {
+    let mut site = Site::new(5, 2);
+    site.more = "liars = 0\n".to_owned();
+    let rig = Rig::voting(NODES, &mut site);
+    let mut asks = StandIn::new(NODES + 1);
+    let zone: Vec<usize> = all().into_iter().filter(|n| n % 2 == 0).collect();
+    let others: Vec<usize> = all().into_iter().filter(|n| n % 2 == 1).collect();
+    site.ill(0, Some(0));
+    site.servers[0].mode(|mode| mode.cut = zone.iter().copied().collect());
+    removed(&rig, &site, &all(), 0, &Scope::Zone("z0".to_owned()));
+    left_alone(&site, 0, &zone);
+    watch(&rig, &site, &mut asks, Duration::from_secs(3));
+    let since = site.now_ms();
+    until("the others call it still", PATIENCE, || others.iter().all(|n| site.calls(0, since, &[*n]) > 0));
+    site.holds();
+}
+
+#[rstest]
+#[case::stopped("-STOP")]
+#[case::drained("-TERM")]
+fn another_holder_goes_on_from_the_list_and_the_one_before_counts_for_nothing(#[case] signal: &str) {
+    let (rig, mut site, mut asks) = a_fleet();
+    site.ill(0, None);
+    site.servers[0].die();
+    removed(&rig, &site, &all(), 0, &Scope::Everywhere);
+    let before = asks.asks(&rig, &site, &all()).expect("a list");
+    let old = rig.counts(&all()).expect("a holder");
+    rig.signal(old, signal);
+    let rest: Vec<usize> = all().into_iter().filter(|n| *n != old).collect();
+    let new = rig.counted_by(&rest, &[]);
+    until("all follow the new one", PATIENCE, || {
+        rest.iter().all(|n| rig.votes(*n).is_some_and(|votes| votes.list.fence > before.number.fence))
+    });
+    let after = asks.asks(&rig, &site, &rest).expect("a list");
+    assert!(after.entries.iter().any(|listed| listed.server == site.address(0)), "what was removed stays");
+    if signal == "-STOP" {
+        rig.signal(old, "-CONT");
+        // What it says from here on is no list.
+        for _ in 0..20 {
+            let said = asks.says(&rig, &site, old, Vec::new());
+            assert!(!matches!(said, Some(Answer::Counted { .. })), "{said:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        until("it follows the new one", PATIENCE, || {
+            rig.votes(old).is_some_and(|votes| !votes.counts && votes.list.fence >= after.number.fence)
+        });
+        assert_eq!(rig.counts(&all()), Some(new));
+    }
+    watch(&rig, &site, &mut asks, Duration::from_secs(2));
+    site.holds();
+}
+
+#[rstest]
+fn a_part_that_is_cut_off_keeps_its_list_and_takes_the_later_one_when_it_is_back() {
+    let (rig, mut site, mut asks) = a_fleet();
+    let holder = rig.counts(&all()).expect("a holder");
+    // The store's majority and a count are with the others, whoever holds.
+    let few: Vec<usize> = vec![if holder <= 3 { holder } else { 1 }];
+    let rest: Vec<usize> = (1..=NODES + 1).filter(|n| !few.contains(n)).collect();
+    let before = rig.votes(few[0]).expect("a report").list;
+    rig.relay.split(&few, &rest);
+    let most: Vec<usize> = rest.iter().copied().filter(|n| *n <= NODES).collect();
+    rig.counted_by(&most, &few);
+    site.ill(0, None);
+    site.servers[0].die();
+    removed(&rig, &site, &most, 0, &Scope::Everywhere);
+    let alone = rig.votes(few[0]).expect("a report");
+    assert!(alone.entries.is_empty() && alone.list.fence == before.fence, "{alone:?}");
+    assert!(alone.in_force, "it keeps what it had for a while");
+    rig.relay.heal();
+    removed(&rig, &site, &all(), 0, &Scope::Everywhere);
+    watch(&rig, &site, &mut asks, Duration::from_secs(2));
+    site.holds();
+}
+
+/// What a liar says: it has seen that one fail always, and this one never.
+fn lies(bad: SocketAddr, good: SocketAddr) -> Vec<Item> {
+    let item = |server, failed| Item {
+        server,
+        class: 0,
+        life: None,
+        age_ms: 300,
+        counts: Counts { calls: 50, failed, timed: 50, slow: failed },
+    };
+    vec![item(bad, 50), item(good, 0)]
+}
+
+#[rstest]
+fn a_lying_voter_neither_removes_a_good_server_nor_keeps_a_bad_one() {
+    // In one zone: with more, each but one of them would need as many honest machines.
+    let mut site = Site::new(5, 1);
+    let rig = Rig::voting(NODES, &mut site);
+    let mut liar = StandIn::new(NODES + 1);
+    let (good, bad) = (site.address(1), site.address(0));
+    site.ill(0, None);
+    site.servers[0].mode(|mode| mode.fails_one_in = 2);
+    until("the bad one is removed", REMOVED * 2, || {
+        std::thread::sleep(Duration::from_millis(200));
+        if let Some(holder) = rig.counts(&all()) {
+            let _ = liar.says(&rig, &site, holder, lies(good, bad));
+        }
+        assert!(all().iter().all(|n| rig.lists(*n, good).is_none()), "the good one stays");
+        all().iter().all(|n| rig.lists(*n, bad).is_some())
+    });
+    // Nor does it go by another's name.
+    liar.n = 1;
+    let holder = rig.counts(&all()).expect("a holder");
+    let at = SocketAddr::new(rig.fleet_address(holder).ip(), rig::relay::VERDICTS);
+    let said = liar.as_from(&rig, NODES + 1, at);
+    assert!(matches!(said, Some(Answer::Refused(_))), "{said:?}");
+    site.holds();
+}
+
+#[rstest]
+fn a_planned_restart_and_a_cold_server_remove_nobody() {
+    let (rig, mut site, mut asks) = a_fleet();
+    let at = site.address(0);
+    rig.words(NODES, &mut site, &format!("in_work = [\"{at}\"]\n"));
+    (1..=NODES).for_each(|n| rig.logged(n, "the configuration is read anew"));
+    site.servers[0].die();
+    watch(&rig, &site, &mut asks, Duration::from_secs(6));
+    site.servers[0].begin();
+    // A fifth of its speed at first.
+    site.servers[0].mode(|mode| mode.takes_ms = 5 * TAKES_MS);
+    watch(&rig, &site, &mut asks, WATCHED);
+    site.servers[0].mode(|mode| mode.takes_ms = TAKES_MS);
+    rig.words(NODES, &mut site, "");
+    watch(&rig, &site, &mut asks, Duration::from_secs(5));
+    assert!(all().iter().all(|n| rig.votes(*n).is_some_and(|votes| votes.entries.is_empty())));
+    site.holds();
+}
+
+#[rstest]
+fn a_release_that_makes_all_slow_or_failing_removes_nobody() {
+    let (rig, site, mut asks) = a_fleet();
+    site.servers.iter().for_each(|server| server.mode(|mode| mode.takes_ms = 5 * TAKES_MS));
+    watch(&rig, &site, &mut asks, WATCHED);
+    site.servers.iter().for_each(|server| server.mode(|mode| mode.fails_one_in = 3));
+    watch(&rig, &site, &mut asks, WATCHED);
+    assert!(all().iter().all(|n| rig.votes(*n).is_some_and(|votes| votes.entries.is_empty())));
+    site.holds();
+}
+
+#[rstest]
+fn an_operators_word_goes_before_votes_and_both_are_shown() {
+    let mut site = Site::new(5, 3);
+    let (stays, goes) = (site.address(0), site.address(1));
+    site.more = format!("always_in = [\"{stays}\"]\nout_now = [\"{goes}\"]\n");
+    let rig = Rig::voting(NODES, &mut site);
+    let mut asks = StandIn::new(NODES + 1);
+    until("the word is in force", PATIENCE, || {
+        all().iter().all(|n| rig.lists(*n, goes).is_some_and(|listed| listed.why == Why::Operator))
+    });
+    left_alone(&site, 1, &all());
+    site.ill(0, None);
+    site.servers[0].die();
+    until("the votes are shown", REMOVED, || {
+        let votes = rig.counts(&all()).and_then(|n| rig.votes(n));
+        let kept = votes.map(|votes| votes.kept).unwrap_or_default();
+        kept.iter().any(|kept| kept.outlier.server == stays && kept.reason == Reason::Operator)
+    });
+    watch(&rig, &site, &mut asks, Duration::from_secs(3));
+    assert!(all().iter().all(|n| rig.lists(*n, stays).is_none()));
+    rig.words(NODES, &mut site, "");
+    until("the word is taken back", PATIENCE, || all().iter().all(|n| rig.lists(*n, goes).is_none()));
+    site.holds();
+}
+
+// The checker.
+
+fn at(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9000 + n as u16))
+}
+
+fn allowed(capacities: &[f64]) -> Allowed {
+    let capacity = capacities.iter().enumerate().map(|(n, capacity)| (at(n), *capacity)).collect();
+    Allowed { capacity, most_out: 0.3 }
+}
+
+fn line(server: usize, scope: Scope) -> Listed {
+    let (kind, evidence) = (Kind::Failing, 30.0);
+    let outlier = Outlier {
+        server: at(server),
+        scope: scope.clone(),
+        kind,
+        evidence,
+        calls: 9,
+        bad: 9,
+        voters: 5,
+        span: 8,
+    };
+    let why = Why::Votes(outlier);
+    Listed { server: at(server), scope, stage: Stage::Out, times: 1, why, word: None }
+}
+
+fn told(at_ms: u64, (fence, sequence): (u64, u64), entries: Vec<Listed>) -> Seen {
+    Seen::Told { at_ms, by: 1, list: List { number: Number { fence, sequence }, entries } }
+}
+
+fn ill(at_ms: u64, server: usize, zone: Option<&str>) -> Seen {
+    Seen::Ill { at_ms, server: at(server), zone: zone.map(str::to_owned) }
+}
+
+fn zone(name: &str) -> Scope {
+    Scope::Zone(name.to_owned())
+}
+
+#[rstest]
+#[case::all_is_well(vec![
+    ill(0, 0, None),
+    told(5000, (1, 2), vec![line(0, Scope::Everywhere)]),
+    Seen::Well { at_ms: 6000, server: at(0) },
+    told(7000, (2, 1), vec![line(0, Scope::Everywhere)]),
+    Seen::Call(Call { at_ms: 8000, server: at(0), node: 1, good: false }),
+], &[])]
+#[case::a_good_server(vec![told(5000, (1, 2), vec![line(0, Scope::Everywhere)])],
+    &[Broken::Good { at_ms: 5000, server: at(0), scope: Scope::Everywhere }])]
+#[case::a_server_that_was_well_from_there(
+    vec![ill(0, 0, Some("z1")), told(5000, (1, 2), vec![line(0, zone("z2"))])],
+    &[Broken::Good { at_ms: 5000, server: at(0), scope: zone("z2") }])]
+#[case::a_path_taken_for_a_server(
+    vec![ill(0, 0, Some("z1")), told(5000, (1, 2), vec![line(0, Scope::Everywhere)])],
+    &[Broken::Good { at_ms: 5000, server: at(0), scope: Scope::Everywhere }])]
+#[case::evidence_from_before_a_restart(vec![
+    ill(0, 0, None),
+    Seen::Restarted { at_ms: 1000, server: at(0) },
+    told(30_000, (1, 2), vec![line(0, Scope::Everywhere)]),
+], &[Broken::Good { at_ms: 30_000, server: at(0), scope: Scope::Everywhere }])]
+#[case::an_old_holder(vec![told(1000, (2, 1), vec![]), told(2000, (1, 9), vec![])],
+    &[Broken::Back { told: Number { fence: 1, sequence: 9 }, after: Number { fence: 2, sequence: 1 } }])]
+#[case::two_lists_of_one_number(
+    vec![ill(0, 0, None), told(1000, (2, 1), vec![]), told(2000, (2, 1), vec![line(0, Scope::Everywhere)])],
+    &[Broken::Twice(Number { fence: 2, sequence: 1 })])]
+#[case::too_many(
+    vec![ill(0, 0, None), ill(0, 1, None), told(9, (1, 2), vec![line(0, Scope::Everywhere), line(1, Scope::Everywhere)])],
+    &[Broken::Cap(Number { fence: 1, sequence: 2 })])]
+#[case::a_bad_one_stays(vec![ill(0, 0, None), told(200_000, (1, 2), vec![])],
+    &[Broken::Stays { at_ms: 200_000, server: at(0) }])]
+#[case::calls_to_what_is_out(vec![
+    ill(0, 0, None),
+    told(5000, (1, 2), vec![line(0, Scope::Everywhere)]),
+    Seen::Call(Call { at_ms: 5001 + IN_FORCE_MS, server: at(0), node: 3, good: false }),
+], &[Broken::Called { server: at(0), node: 3, late_ms: 1 + IN_FORCE_MS }])]
+fn the_checker_finds_what_breaks_its_rule(#[case] seen: Vec<Seen>, #[case] broken: &[Broken]) {
+    assert_eq!(judge(&seen, &allowed(&[1.0; 6])), broken);
+}
+
+/// What is told of evidence over some minutes, as the one that counts makes it.
+struct Play {
+    holding: Holding,
+    terms: Terms,
+    seen: Vec<Seen>,
+    numbers: BTreeMap<String, u64>,
+    now: u64,
+}
+
+impl Play {
+    fn new(capacities: &[f64], planted: Option<Planted>) -> Self {
+        let member = |(n, capacity): (usize, &f64)| Member {
+            server: at(n),
+            zone: String::new(),
+            capacity: *capacity,
+            routes: Vec::new(),
+        };
+        let terms = Terms {
+            members: capacities.iter().enumerate().map(member).collect(),
+            limits: Limits::default(),
+            rules: Rules { liars: Some(1), planted },
+            ..Terms::default()
+        };
+        let holding = Holding::begin(0.0, 1, None);
+        Self { holding, terms, seen: Vec::new(), numbers: BTreeMap::new(), now: 1_000_000 }
+    }
+
+    /// So many seconds in which each of these nodes, on these machines, tells what `script` says of six servers.
+    fn seconds(
+        &mut self,
+        seconds: u64,
+        nodes: &[(usize, usize)],
+        script: impl Fn(usize, usize) -> Option<(u32, Option<Life>)>,
+    ) {
+        for _ in 0..seconds {
+            for (node, machine) in nodes {
+                let item = |server: usize| {
+                    let (failed, life) = script(*machine, server)?;
+                    let counts = Counts { calls: 2, failed, timed: 0, slow: 0 };
+                    Some(Item { server: at(server), class: 0, life, age_ms: 200, counts })
+                };
+                let (name, machine) = (format!("n{node}"), format!("m{machine}"));
+                let number = self.numbers.entry(name.clone()).or_default();
+                *number += 1;
+                let evidence = Evidence { number: *number, items: (0..6).filter_map(item).collect() };
+                let voter = Voter { name, machine, zone: format!("z{}", node % 3) };
+                self.holding.hear(self.now as f64, &voter, 1, &evidence, &[]).expect("evidence");
+            }
+            self.now += 1000;
+            self.holding.turn(self.now as f64, &self.terms, 3000.0);
+            self.seen.push(Seen::Told { at_ms: self.now, by: 1, list: self.holding.list() });
+        }
+    }
+
+    fn note(&mut self, event: impl Fn(u64) -> Seen) {
+        self.seen.push(event(self.now));
+    }
+}
+
+const SINGLE: [(usize, usize); 9] = [(0, 0), (1, 1), (2, 2), (3, 3), (4, 4), (5, 5), (6, 6), (7, 7), (8, 8)];
+
+fn one_machine_lies(planted: Option<Planted>) -> Vec<Broken> {
+    let mut play = Play::new(&[1.0; 6], planted);
+    let crowd: Vec<(usize, usize)> = SINGLE.into_iter().chain((20..35).map(|node| (node, 20))).collect();
+    play.seconds(30, &crowd, |machine, server| {
+        Some((if machine == 20 && server == 0 { 2 } else { 0 }, None))
+    });
+    judge(&play.seen, &allowed(&[1.0; 6]))
+}
+
+fn few_have_evidence(planted: Option<Planted>) -> Vec<Broken> {
+    let mut play = Play::new(&[1.0; 6], planted);
+    play.note(|at_ms| ill(at_ms, 0, None));
+    // Sixty nodes call it never; nine see it fail half of its calls.
+    let crowd: Vec<(usize, usize)> = (0..69).map(|n| (n, n)).collect();
+    play.seconds(200, &crowd, |machine, server| match server {
+        0 if machine >= 9 => None,
+        0 => Some((1, None)),
+        _ => Some((0, None)),
+    });
+    judge(&play.seen, &allowed(&[1.0; 6]))
+}
+
+fn a_server_starts_again(planted: Option<Planted>) -> Vec<Broken> {
+    let mut play = Play::new(&[1.0; 6], planted);
+    let life = |incarnation, up_ms| Some(Life { incarnation, up_ms });
+    play.note(|at_ms| ill(at_ms, 0, None));
+    play.seconds(2, &SINGLE, |_, server| Some((2 * u32::from(server == 0), life(1, 900_000))));
+    play.note(|at_ms| Seen::Restarted { at_ms, server: at(0) });
+    play.seconds(12, &SINGLE, |_, server| (server > 0).then_some((0, life(1, 900_000))));
+    // One call that fails is no reason, but with those of its earlier life it would be one.
+    play.seconds(1, &SINGLE, |_, server| Some((u32::from(server == 0), life(2, 12_000))));
+    play.seconds(2, &SINGLE, |_, _| Some((0, life(2, 14_000))));
+    judge(&play.seen, &allowed(&[1.0; 6]))
+}
+
+fn the_largest_server_is_ill(planted: Option<Planted>) -> Vec<Broken> {
+    let capacities = [9.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+    let mut play = Play::new(&capacities, planted);
+    play.note(|at_ms| ill(at_ms, 0, None));
+    play.seconds(30, &SINGLE, |_, server| Some((2 * u32::from(server == 0), None)));
+    judge(&play.seen, &allowed(&capacities))
+}
+
+#[rstest]
+#[case::a_voter_counted_twice(one_machine_lies, Planted::OneVoterTwice)]
+#[case::abstentions_counted_as_good(few_have_evidence, Planted::AbstentionsAsGood)]
+#[case::evidence_from_before_a_restart(a_server_starts_again, Planted::LivesMixed)]
+#[case::a_cap_by_number_alone(the_largest_server_is_ill, Planted::CapByNumberOnly)]
+fn the_checker_finds_planted_errors(
+    #[case] play: fn(Option<Planted>) -> Vec<Broken>,
+    #[case] error: Planted,
+) {
+    assert_eq!(play(None), []);
+    assert_ne!(play(Some(error)), []);
+}
