--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -9,6 +9,7 @@
 mod renew;
 mod routes;
 mod settings;
+mod verdicts;
 
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
@@ -29,6 +30,7 @@
 pub use partners::{AggregateTable, GrantTable, OwnRoute, PartnersTable, SiteTable};
 pub use routes::{KnowledgeTable, RecordsTable};
 pub use settings::{Pairs, Site, gauges, parse};
+pub use verdicts::VerdictsTable;
 
 /// Why a node cannot start.
 #[derive(Debug, Error)]
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -13,6 +13,7 @@
 use super::fault::Fault;
 use super::partners::PartnersTable;
 use super::routes::{KnowledgeTable, RecordsTable};
+use super::verdicts::VerdictsTable;
 use crate::fleet::view::MOST_NAME;
 
 /// The file, in TOML.
@@ -37,6 +38,8 @@
     pub duties: Option<DutiesTable>,
     /// Partner sites whose routes are merged with this one's; absent where there are none.
     pub partners: Option<PartnersTable>,
+    /// The node's part in votes on the servers of the records service; absent where each node removes them for itself.
+    pub verdicts: Option<VerdictsTable>,
 }
 
 /// The node's part in a fleet of nodes that know each other.
@@ -225,6 +228,10 @@
         if let Some(partners) = &self.partners {
             partners.check(self.fleet.is_some(), self.duties.is_some(), &mut faults);
         }
+        if let Some(verdicts) = &self.verdicts {
+            let has = [has_servers, self.fleet.is_some(), self.duties.is_some()];
+            verdicts.check(has, &mut faults);
+        }
         faults
     }
 
@@ -245,6 +252,7 @@
             copies: read_alone::<CopiesAlone>(text, "copies", &mut faults).copies,
             duties: read_alone::<DutiesAlone>(text, "duties", &mut faults).duties,
             partners: read_alone::<PartnersAlone>(text, "partners", &mut faults).partners,
+            verdicts: read_alone::<VerdictsAlone>(text, "verdicts", &mut faults).verdicts,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
         faults.extend(unknown.map(|key| Fault::new(key, "", "is no table of this file")));
@@ -259,7 +267,8 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 8] = ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "partners"];
+const TABLES: [&str; 9] =
+    ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "partners", "verdicts"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -297,6 +306,11 @@
     partners: Option<PartnersTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct VerdictsAlone {
+    verdicts: Option<VerdictsTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct KnowledgeAlone {
     #[serde(default)]
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -26,6 +26,7 @@
 use crate::copies;
 use crate::duty::hold::Ends;
 use crate::frame::{receive_within, send};
+use crate::verdict;
 
 use super::copying::{Copying, Datagram, Part, Target, Woken};
 use super::follow::{Heard, Store};
@@ -97,6 +98,8 @@
     pub duties: Option<Ends>,
     /// Its part in partners' routes, where it has one.
     pub partners: Option<watch::Receiver<crate::partners::live::Report>>,
+    /// What it shows of the votes on servers, where it has a part in them.
+    pub verdicts: Option<watch::Receiver<verdict::part::Report>>,
     /// Whether this process is the node's only one: until it is, it follows the fleet and does not belong.
     pub alone: watch::Receiver<bool>,
 }
@@ -120,7 +123,7 @@
 }
 
 async fn serve(options: Options, shown: watch::Sender<View>) -> Result<(), FleetError> {
-    let Options { name, table, copies, duties, partners, mut alone } = options;
+    let Options { name, table, copies, duties, partners, verdicts, mut alone } = options;
     let number = Rc::new(Cell::new(0));
     let (heard, hears) = mpsc::channel(4);
     let (asked, questions) = mpsc::channel(CONNECTIONS);
@@ -150,6 +153,7 @@
         copying: copies.map(|part| Copying::new(part, store.clone(), rng().random())),
         duties,
         partners,
+        verdicts,
         keeps,
         leaving: None,
         name,
@@ -392,6 +396,7 @@
     copying: Option<Copying>,
     duties: Option<Ends>,
     partners: Option<watch::Receiver<crate::partners::live::Report>>,
+    verdicts: Option<watch::Receiver<verdict::part::Report>>,
     keeps: watch::Sender<Kept>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
@@ -752,6 +757,7 @@
             nodes: self.view.nodes().map(line).collect(),
             duties: self.duties.as_ref().map(|duties| duties.shown.borrow().clone()),
             partners: self.partners.as_ref().map(|partners| partners.borrow().clone()),
+            verdicts: self.verdicts.as_ref().map(|verdicts| verdicts.borrow().clone()),
         }
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -214,6 +214,9 @@
     /// Its part in partners' routes, where it has one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub partners: Option<crate::partners::live::Report>,
+    /// Its part in the votes on servers, where it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<crate::verdict::part::Report>,
 }
 
 /// Why a node cannot be asked.
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -11,6 +11,7 @@
 pub mod schedule;
 pub mod sim;
 pub mod target;
+pub mod verdicts;
 
 use std::collections::HashMap;
 use std::fs;
