Join the path of a request through partners' routes

Routes from files have a table of their own, [routes], for nodes that take no part in the exchange; what votes remove is out on this path too.

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -9,6 +9,7 @@
 
 use super::ConfigError;
 use super::copies::CopiesTable;
+use super::course::RoutesTable;
 use super::duties::DutiesTable;
 use super::fault::Fault;
 use super::partners::PartnersTable;
@@ -40,6 +41,8 @@
     pub partners: Option<PartnersTable>,
     /// The node's part in votes on the servers of the records service; absent where each node removes them for itself.
     pub verdicts: Option<VerdictsTable>,
+    /// Routes of sites that calls follow, from files; absent where there are none, or partners tell them.
+    pub routes: Option<RoutesTable>,
 }
 
 /// The node's part in a fleet of nodes that know each other.
@@ -228,6 +231,9 @@
         if let Some(partners) = &self.partners {
             partners.check(self.fleet.is_some(), self.duties.is_some(), &mut faults);
         }
+        if self.partners.is_some() && self.routes.is_some() {
+            faults.push(Fault::new("routes", "", "stands beside partners, who tell the routes that are followed"));
+        }
         if let Some(verdicts) = &self.verdicts {
             let has = [has_servers, self.fleet.is_some(), self.duties.is_some()];
             verdicts.check(has, &mut faults);
@@ -252,6 +258,7 @@
             copies: read_alone::<CopiesAlone>(text, "copies", &mut faults).copies,
             duties: read_alone::<DutiesAlone>(text, "duties", &mut faults).duties,
             partners: read_alone::<PartnersAlone>(text, "partners", &mut faults).partners,
+            routes: read_alone::<RoutesAlone>(text, "routes", &mut faults).routes,
             verdicts: read_alone::<VerdictsAlone>(text, "verdicts", &mut faults).verdicts,
         };
         let unknown = tables.keys().filter(|key| !TABLES.contains(&key.as_str()));
@@ -267,8 +274,8 @@
 }
 
 /// The tables of the file.
-const TABLES: [&str; 9] =
-    ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "partners", "verdicts"];
+const TABLES: [&str; 10] =
+    ["ajp", "store", "records", "knowledge", "fleet", "copies", "duties", "partners", "routes", "verdicts"];
 
 #[derive(Default, Deserialize)]
 struct AjpAlone {
@@ -306,6 +313,11 @@
     partners: Option<PartnersTable>,
 }
 
+#[derive(Default, Deserialize)]
+struct RoutesAlone {
+    routes: Option<RoutesTable>,
+}
+
 #[derive(Default, Deserialize)]
 struct VerdictsAlone {
     verdicts: Option<VerdictsTable>,
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,8 +15,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::back::records::sites::Sites;
 use crate::back::{control, processor, records};
-use crate::config::{Config, ConfigError, CopiesTable, Operator, Peers, RecordsTable};
+use crate::config::{Config, ConfigError, CopiesTable, Operator, Peers, RecordsTable, RoutesTable};
 use crate::copies::News;
 use crate::copies::slots::Terms;
 use crate::duty::{DutyName, Held, beat, hold};
@@ -87,7 +88,10 @@
     let link = processor::Link::new(peers.clone(), handle.clone(), servers.commands);
     spawn_local(link.keep());
     let routes = config.operator.records.as_ref().map(|table| Routes::new(table, config.seed));
-    let records = records::Records::new(peers.clone(), routes.clone(), handle.clone(), config.sockets / 4);
+    let in_force = in_force(&config.operator)?;
+    let sites = in_force.as_ref().map(|in_force| sites(&config, in_force, routes.clone()));
+    let most = config.sockets / 4;
+    let records = records::Records::new(peers.clone(), routes.clone(), sites, handle.clone(), most);
     spawn_local(records.serve(servers.calls));
     let (publish, published) = watch::channel(config.published()?);
     let mut votes = Votes::of(&config, routes.clone());
@@ -97,6 +101,7 @@
         routes: routes.clone(),
         terms: copies.terms.clone(),
         votes: votes.as_ref().map(|votes| votes.terms.clone()),
+        in_force: in_force.clone(),
     };
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), turning));
     let (alone, turn) = succeed(&config, &handle).await;
@@ -107,8 +112,6 @@
         let (keeper, ends) = config.operator.duties.as_ref().map(|_| hold::part()).unzip();
         let (show, shown) =
             config.operator.partners.as_ref().map(|_| watch::channel(Default::default())).unzip();
-        // What the merge of partners' routes puts in force.
-        let in_force = Arc::new(InForce::default());
         let options = fleet::daemon::Options {
             name: config.name.clone(),
             table,
@@ -120,7 +123,7 @@
         };
         match fleet::daemon::start(options) {
             Ok(view) => {
-                let partners = begin_partners(&config, show, &view, &is_alone, in_force);
+                let partners = begin_partners(&config, show, &view, &is_alone, in_force.unwrap_or_default());
                 let counts = votes.take().and_then(|votes| votes.begin(view.clone(), is_alone.clone()));
                 begin_duties(&config, keeper, view, is_alone, [partners, counts]);
             }
@@ -420,6 +423,7 @@
                 turn_to(&turning.routes, &new.operator.records);
                 turning.agree(&new.operator.copies);
                 turning.count(&new.operator);
+                turning.follow(&new.operator);
                 config = new;
             }
             Err(problem) => warn!("the configuration stays as it was: {problem}"),
@@ -434,6 +438,7 @@
     routes: Option<Rc<Routes>>,
     terms: Option<watch::Sender<Terms>>,
     votes: Option<Rc<watch::Sender<Counted>>>,
+    in_force: Option<Arc<InForce>>,
 }
 
 impl Turning {
@@ -446,6 +451,20 @@
         }
     }
 
+    /// Puts the tables of sites in force as their files are now. Whether there are any counts from the next start.
+    fn follow(&self, operator: &Operator) {
+        match (&self.in_force, &operator.routes) {
+            (Some(in_force), Some(table)) => {
+                if let Err(problem) = follow(table, in_force) {
+                    warn!("the routes of sites stay as they were: {problem}");
+                }
+            }
+            (None, None) => {}
+            (Some(_), None) if operator.partners.is_some() => {}
+            _ => warn!("routes of sites come or go as a whole at the next start only"),
+        }
+    }
+
     /// Asks for another number of copies, where the operator has set one. Whether there are any counts from the next
     /// start.
     fn agree(&self, table: &Option<CopiesTable>) {
@@ -463,6 +482,30 @@
     }
 }
 
+/// The table of routes that calls follow: the one that partners tell, or the one of files; none where there is neither.
+fn in_force(operator: &Operator) -> Result<Option<Arc<InForce>>, ConfigError> {
+    let in_force = (operator.partners.is_some() || operator.routes.is_some()).then(Arc::default);
+    if let (Some(in_force), Some(table)) = (&in_force, &operator.routes) {
+        follow(table, in_force)?;
+    }
+    Ok(in_force)
+}
+
+/// The servers of sites. What the fleet has removed of those that this node has of itself is out there as well.
+fn sites(config: &Config, in_force: &Arc<InForce>, routes: Option<Rc<Routes>>) -> Rc<Sites> {
+    let choice = config.operator.records.as_ref().map(|table| table.choice.clone());
+    let is_out = move |server| routes.as_ref().is_some_and(|routes| routes.is_out(server));
+    Sites::new(in_force.clone(), choice.unwrap_or_default(), config.seed, is_out)
+}
+
+/// Puts the tables of sites in force as their files are now.
+fn follow(table: &RoutesTable, in_force: &InForce) -> Result<(), ConfigError> {
+    let merged = table.merged()?;
+    info!("calls follow {} routes of {} sites", merged.index().len(), table.files.len());
+    in_force.set(merged);
+    Ok(())
+}
+
 /// Puts another list of servers in force. Whether there is one at all counts from the next start.
 fn turn_to(routes: &Option<Rc<Routes>>, table: &Option<RecordsTable>) {
     match (routes, table) {
--- a/src/partners/mod.rs
+++ b/src/partners/mod.rs
@@ -7,6 +7,8 @@
 pub mod admit;
 pub mod asking;
 pub mod board;
+pub mod capacity;
+pub mod course;
 pub mod export;
 pub mod fetch;
 pub mod keep;
@@ -17,6 +19,7 @@
 #[doc(hidden)]
 pub mod planted;
 pub mod publish;
+pub mod rest;
 pub mod restrict;
 pub mod route;
 pub mod table;
--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Whether the fleet has taken a server out, but for trial calls.
+    pub fn is_out(&self, server: SocketAddr) -> bool {
+        let votes = self.votes.borrow();
+        let given = votes.as_ref().and_then(|votes| votes.shares.get(&server));
+        given.is_some_and(|given| matches!(given.share, Share::Trial | Share::Part(0.0)))
+    }
+
     /// Notes what the end of a call shows of its server, where it shows anything.
     fn note(&self, choice: &Choice, class: u8, ended: &Ended) {
         let failed = match ended.kind {
