--- a/src/partners/asking.rs
+++ b/src/partners/asking.rs
@@ -98,7 +98,6 @@
 
 /// One route of the merged table, with whom it is from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Told {
     /// The partner that told it, or this site.
     pub from: Name,
@@ -123,7 +122,6 @@
 
 /// How a partner's table stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Line {
     /// The version that the next one has to be above.
     pub seen: Version,
@@ -132,9 +130,9 @@
 }
 
 /// The merged table as the duty's holder tells it to the nodes, or the differences from a version. It is also what a node
-/// keeps, and what the next holder begins with.
+/// keeps, and what the next holder begins with. What a newer program adds is passed over: it is used here alone, and told on by
+/// nobody before the partner has said it again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Feed {
     /// The node that holds the duty.
     pub by: String,
