--- a/tests/partners.rs
+++ b/tests/partners.rs
@@ -347,8 +347,8 @@
     a.announce(10, &[Restriction::Further { sites: 2 }]);
     a.announce(11, &[Restriction::Unmerged {}]);
     let wide = |stand: &Stand| {
-        let routes = stand.routes("f1").into_iter();
-        routes.filter(|route| route["match"] == json!({"class": "c"})).next_back()
+        let mut routes = stand.routes("f1").into_iter();
+        routes.rfind(|route| route["match"] == json!({"class": "c"}))
     };
     let servers = |n: u16| sites::route(n, None, &[]).0;
     until("c has both parts as one", PATIENCE, || {
