--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -357,7 +357,7 @@
     for n in 0..100 {
         let life = Some(Life { incarnation: u64::MAX, up_ms: u32::MAX });
         let call = Call { server: address(n), class: 3, life, failed: true, unit_ms: None };
-        (0..300).for_each(|_| recorder.note(5_000.0, &call));
+        (0..300).for_each(|_| _ = recorder.note(5_000.0, &call));
     }
     let (first, second) = (recorder.take(200_000.0), recorder.take(200_000.0));
     assert_eq!((first.items.len(), second.items.len()), (MOST_ITEMS, 100 - MOST_ITEMS));
