--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -232,7 +232,11 @@
             partners.check(self.fleet.is_some(), self.duties.is_some(), &mut faults);
         }
         if self.partners.is_some() && self.routes.is_some() {
-            faults.push(Fault::new("routes", "", "stands beside partners, who tell the routes that are followed"));
+            faults.push(Fault::new(
+                "routes",
+                "",
+                "stands beside partners, who tell the routes that are followed",
+            ));
         }
         if let Some(verdicts) = &self.verdicts {
             let has = [has_servers, self.fleet.is_some(), self.duties.is_some()];
--- a/src/node.rs
+++ b/src/node.rs
@@ -273,11 +273,7 @@
     }
 
     /// Begins it. What is returned takes the duty's end.
-    fn begin(
-        self,
-        view: watch::Receiver<View>,
-        alone: watch::Receiver<bool>,
-    ) -> Option<Given> {
+    fn begin(self, view: watch::Receiver<View>, alone: watch::Receiver<bool>) -> Option<Given> {
         let (give, given) = oneshot::channel();
         match verdict::part::start(self.options, view, alone, given) {
             Ok(()) => Some((self.duty, give)),
--- a/tests/partners_path.rs
+++ b/tests/partners_path.rs
@@ -55,8 +55,8 @@
         let mut all = settings();
         all["tenants"] = json!([{"name": "almaty", "portion": 0.5, "quota-rps": 1000.0},
                                 {"name": "astana", "portion": 0.5, "quota-rps": 1000.0}]);
-        let files = SITES
-            .map(|site| format!("[[routes.files]]\nof = {site:?}\nfile = {:?}\n", folder.join(site)));
+        let files =
+            SITES.map(|site| format!("[[routes.files]]\nof = {site:?}\nfile = {:?}\n", folder.join(site)));
         let mut node = Node::launch_with(all, &format!("[routes]\nsite = \"home\"\n{}", files.concat()));
         node.processor.greet("warm");
         node.reported("Ready");
