--- a/benches/copies/main.rs
+++ b/benches/copies/main.rs
@@ -20,7 +20,7 @@
 use rand::{Rng, SeedableRng};
 use report::Report;
 use rig::copied::{Broken, Seen, World, judge};
-use rig::copies::{End, History, Work, note, request, serving};
+use rig::copies::{End, History, Work, note, request, serving, so_far};
 use rig::{PATIENCE, Rig, until};
 use sillflow::fleet::wire::Question;
 
@@ -38,6 +38,7 @@
 struct Sum {
     second: usize,
     other: usize,
+    denied: usize,
     began: usize,
     done: usize,
     failed: usize,
@@ -49,6 +50,7 @@
         let broken = judge(seen);
         self.second += broken.iter().filter(|broken| matches!(broken, Broken::SecondRun(_))).count();
         self.other += broken.iter().filter(|broken| matches!(broken, Broken::OtherResult(_))).count();
+        self.denied += broken.iter().filter(|broken| matches!(broken, Broken::Denied(_))).count();
         let count = |of: fn(&Seen) -> bool| seen.iter().filter(|event| of(event)).count();
         self.began += count(|event| matches!(event, Seen::Began { .. }));
         self.done += count(|event| matches!(event, Seen::Done { .. }));
@@ -59,6 +61,7 @@
     fn say(&self, report: &mut Report, what: &str) {
         report.most(&format!("{what}: second runs"), self.second as f64, 0.0);
         report.most(&format!("{what}: results of another run or of none"), self.other as f64, 0.0);
+        report.most(&format!("{what}: refused though a run had begun"), self.denied as f64, 0.0);
         report.plain(&format!("{what}: runs"), self.began as f64);
         report.plain(&format!("{what}: answered with a result"), self.done as f64);
         report.plain(&format!("{what}: failed"), self.failed as f64);
@@ -132,8 +135,9 @@
     while !over.load(SeqCst) {
         let node = at.lock().expect("a lock").choose(rng).copied().expect("a node");
         let key = rng.random_range(0..40);
+        let asked = so_far(seen);
         let end = request(node, key);
-        note(seen, key, &end);
+        note(seen, key, asked, &end);
         std::thread::sleep(Duration::from_millis(rng.random_range(0..20)));
     }
 }
--- a/src/copies/disk.rs
+++ b/src/copies/disk.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
 use redb::{Database, Durability, ReadableTable, TableDefinition};
@@ -13,11 +15,13 @@
 use super::holder::Held;
 use super::key::KeyId;
 use super::register::Row;
+use crate::store::witness::Witness;
 
 const ROWS: TableDefinition<'_, u128, &[u8]> = TableDefinition::new("rows");
 const META: TableDefinition<'_, &str, u64> = TableDefinition::new("meta");
 const FILE: &str = "copies.redb";
 const BIRTH: &str = "birth";
+const COUNT: &str = "count";
 /// Bytes of a row's digest.
 const CHECK: usize = 8;
 
@@ -83,13 +87,21 @@
     /// The registers by life of the node. Windows begin anew as long as they lasted when they were written: nothing says
     /// for how long the power was off.
     pub rows: BTreeMap<u64, Vec<(KeyId, Held)>>,
+    /// Whether more was kept here before than is there now: an older copy was put back.
+    pub is_old: bool,
 }
 
 /// The file.
 #[derive(Debug)]
 pub struct Disk {
-    database: Database,
+    /// None behind an error: the database is used no more after one until it is opened again.
+    database: Mutex<Option<Database>>,
     path: PathBuf,
+    /// The word of the directory, and how often something was kept there.
+    birth: AtomicU64,
+    count: AtomicU64,
+    /// What stands beside the directory and tells an old one; none where nothing can be written there.
+    witness: Option<Witness>,
 }
 
 fn digest(value: &[u8]) -> [u8; CHECK] {
@@ -98,6 +110,35 @@
     first
 }
 
+/// Writes changes and how often something was kept, all of it or none.
+fn commit(
+    database: &Database,
+    incarnation: u64,
+    now: u64,
+    changes: &[Change],
+    count: u64,
+) -> Result<(), DiskError> {
+    let mut write = db(database.begin_write())?;
+    write.set_durability(Durability::Immediate);
+    write.set_two_phase_commit(true);
+    db(db(write.open_table(META))?.insert(COUNT, count))?;
+    {
+        let mut table = db(write.open_table(ROWS))?;
+        for change in changes {
+            let Some(held) = &change.held else {
+                db(table.remove(change.key.0))?;
+                continue;
+            };
+            let left_ms = held.until.saturating_sub(now);
+            let kept = Kept { incarnation, epoch: change.epoch, left_ms, row: held.row.clone() };
+            let body = postcard::to_stdvec(&kept)?;
+            let row = [&digest(&body)[..], &body].concat();
+            db(table.insert(change.key.0, row.as_slice()))?;
+        }
+    }
+    db(write.commit())
+}
+
 impl Disk {
     /// Opens the file of a directory, or begins one.
     ///
@@ -108,33 +149,57 @@
         let unusable = |cause| DiskError::Unusable { path: path.clone(), cause };
         std::fs::create_dir_all(directory).map_err(unusable)?;
         let database = db(Database::create(&path))?;
-        let disk = Self { database, path };
-        let birth = disk.birth()?;
-        let rows = disk.rows(now)?;
-        Ok((disk, Found { birth, rows }))
+        let witness = Witness::open(directory);
+        let disk = Self {
+            database: Mutex::new(Some(database)),
+            path,
+            birth: AtomicU64::new(0),
+            count: AtomicU64::new(0),
+            witness,
+        };
+        let (birth, count) = disk.on(Self::read_meta)?;
+        disk.birth.store(birth, Relaxed);
+        disk.count.store(count, Relaxed);
+        let seen = disk.witness.as_ref().and_then(|witness| witness.count(birth));
+        let rows = disk.on(|database| disk.rows(database, now))?;
+        Ok((disk, Found { birth, rows, is_old: seen.is_some_and(|seen| seen > count) }))
+    }
+
+    /// Works on the database, which is opened again where the last work on it has failed.
+    fn on<T>(&self, work: impl FnOnce(&Database) -> Result<T, DiskError>) -> Result<T, DiskError> {
+        let mut open = self.database.lock().unwrap_or_else(PoisonError::into_inner);
+        let database = match open.take() {
+            Some(database) => database,
+            None => db(Database::create(&self.path))?,
+        };
+        let done = work(&database)?;
+        *open = Some(database);
+        Ok(done)
     }
 
-    fn birth(&self) -> Result<u64, DiskError> {
-        let write = db(self.database.begin_write())?;
-        let birth = {
+    /// The word of the directory, which gets one where it has none, and how often something was kept.
+    fn read_meta(database: &Database) -> Result<(u64, u64), DiskError> {
+        let write = db(database.begin_write())?;
+        let meta = {
             let mut meta = db(write.open_table(META))?;
             db(write.open_table(ROWS))?;
             let kept = db(meta.get(BIRTH))?.map(|word| word.value());
-            match kept {
+            let birth = match kept {
                 Some(birth) => birth,
                 None => {
                     let birth = rand::rng().random();
                     db(meta.insert(BIRTH, birth))?;
                     birth
                 }
-            }
+            };
+            (birth, db(meta.get(COUNT))?.map_or(0, |count| count.value()))
         };
         db(write.commit())?;
-        Ok(birth)
+        Ok(meta)
     }
 
-    fn rows(&self, now: u64) -> Result<BTreeMap<u64, Vec<(KeyId, Held)>>, DiskError> {
-        let read = db(self.database.begin_read())?;
+    fn rows(&self, database: &Database, now: u64) -> Result<BTreeMap<u64, Vec<(KeyId, Held)>>, DiskError> {
+        let read = db(database.begin_read())?;
         let table = db(read.open_table(ROWS))?;
         let mut rows: BTreeMap<u64, Vec<(KeyId, Held)>> = BTreeMap::new();
         for entry in db(table.iter())? {
@@ -161,24 +226,12 @@
     /// # Errors
     /// Nothing may be said to be kept.
     pub fn keep(&self, incarnation: u64, now: u64, changes: &[Change]) -> Result<(), DiskError> {
-        let mut write = db(self.database.begin_write())?;
-        write.set_durability(Durability::Immediate);
-        write.set_two_phase_commit(true);
-        {
-            let mut table = db(write.open_table(ROWS))?;
-            for change in changes {
-                let Some(held) = &change.held else {
-                    db(table.remove(change.key.0))?;
-                    continue;
-                };
-                let left_ms = held.until.saturating_sub(now);
-                let kept = Kept { incarnation, epoch: change.epoch, left_ms, row: held.row.clone() };
-                let body = postcard::to_stdvec(&kept)?;
-                let row = [&digest(&body)[..], &body].concat();
-                db(table.insert(change.key.0, row.as_slice()))?;
-            }
-        }
-        db(write.commit())
+        // One writer at a time.
+        let count = self.count.load(Relaxed) + 1;
+        self.on(|database| commit(database, incarnation, now, changes, count))?;
+        self.count.store(count, Relaxed);
+        let witnessed = self.witness.as_ref().map(|witness| witness.write(self.birth.load(Relaxed), count));
+        witnessed.unwrap_or(Ok(())).map_err(|cause| DiskError::Unusable { path: self.path.clone(), cause })
     }
 
     /// Begins another life of the node: what was held in the one before is given up.
@@ -186,14 +239,18 @@
     /// # Errors
     /// It is not begun.
     pub fn renew(&self, birth: u64) -> Result<(), DiskError> {
-        let mut write = db(self.database.begin_write())?;
-        write.set_two_phase_commit(true);
-        {
-            let mut meta = db(write.open_table(META))?;
-            db(meta.insert(BIRTH, birth))?;
-            db(write.delete_table(ROWS))?;
-            db(write.open_table(ROWS))?;
-        }
-        db(write.commit())
+        self.on(|database| {
+            let mut write = db(database.begin_write())?;
+            write.set_two_phase_commit(true);
+            {
+                let mut meta = db(write.open_table(META))?;
+                db(meta.insert(BIRTH, birth))?;
+                db(write.delete_table(ROWS))?;
+                db(write.open_table(ROWS))?;
+            }
+            db(write.commit())
+        })?;
+        self.birth.store(birth, Relaxed);
+        Ok(())
     }
 }
--- a/src/copies/errand.rs
+++ b/src/copies/errand.rs
@@ -10,6 +10,8 @@
 pub enum Errand {
     /// Claim its key ahead of its run.
     Claim(Claim),
+    /// Say whether its key is another one's, and claim nothing: it is to be refused where it is nobody's.
+    Look(Claim),
     /// Its run is over: this has come of it.
     End {
         /// Which request.
@@ -58,6 +60,8 @@
     Doubt,
     /// Not enough holders could be reached, and none that was knows of another run.
     Unreached,
+    /// A majority of the holders knows of no run: none had begun when they were asked.
+    Nobodys,
     /// The holders have no room for the key.
     Full,
     /// What came of the run is copied.
--- a/src/copies/machine.rs
+++ b/src/copies/machine.rs
@@ -73,6 +73,8 @@
 enum Stage {
     /// The key is being claimed.
     Claiming(Proposal),
+    /// The key is not wished for: whether it is another one's is all that is asked.
+    Asking(Proposal),
     /// Another one has it: its end is looked for, for the so-manieth time.
     Looking(Proposal, Claimant, u32),
     /// That one is gone: whatever holders have of it is made certain.
@@ -105,6 +107,7 @@
     fn proposal(&mut self) -> &mut Proposal {
         match &mut self.stage {
             Stage::Claiming(proposal)
+            | Stage::Asking(proposal)
             | Stage::Looking(proposal, ..)
             | Stage::Settling(proposal)
             | Stage::Running(proposal)
@@ -256,14 +259,15 @@
     pub fn run(&mut self, now: u64, errand: Errand, rng: &mut impl Rng) -> Vec<Out> {
         let mut out = Vec::new();
         match errand {
-            Errand::Claim(claim) => self.claim(now, claim, rng, &mut out),
+            Errand::Claim(claim) => self.claim(now, claim, Wish::Claim, rng, &mut out),
+            Errand::Look(claim) => self.claim(now, claim, Wish::Look, rng, &mut out),
             Errand::End { request, fate } => self.end(now, request, fate, &mut out),
             Errand::GiveUp { request } => self.give_up(now, request, &mut out),
         }
         out
     }
 
-    fn claim(&mut self, now: u64, claim: Claim, rng: &mut impl Rng, out: &mut Vec<Out>) {
+    fn claim(&mut self, now: u64, claim: Claim, wish: Wish, rng: &mut impl Rng, out: &mut Vec<Out>) {
         let Claim { request, key, body, left_ms, wait_ms, share_ms } = claim;
         let longest = self.slots.terms().map_or(0, |terms| terms.window_ms);
         if self.works.len() >= MOST_WORKS || u64::from(left_ms) > longest {
@@ -273,7 +277,8 @@
         self.numbers += 1;
         let number = self.numbers;
         let me = Claimant { node: self.members.me.unwrap_or(0), process: self.process, run: number };
-        let proposal = self.propose(key, me, body, Wish::Claim, rng);
+        let looks = wish == Wish::Look;
+        let proposal = self.propose(key, me, body, wish, rng);
         let work = Work {
             request,
             body,
@@ -281,13 +286,13 @@
             window: now + u64::from(left_ms),
             claimed_by: now + u64::from(wait_ms),
             shared_by: now + u64::from(share_ms),
-            stage: Stage::Claiming(proposal),
+            stage: if looks { Stage::Asking(proposal) } else { Stage::Claiming(proposal) },
             next: now,
             turn: 0,
         };
         self.works.insert(number, work);
         self.by_request.insert(request, number);
-        self.counts.claims += 1;
+        self.counts.claims += u64::from(!looks);
         self.ask(now, number, out);
     }
 
@@ -375,7 +380,7 @@
         let asks = work.proposal().asks(left_ms);
         let again = (AGAIN_MS << work.turn.min(3)).min(LONGEST_MS);
         work.turn += 1;
-        let claiming = matches!(work.stage, Stage::Claiming(_));
+        let claiming = matches!(work.stage, Stage::Claiming(_) | Stage::Asking(_));
         let last = if claiming { work.claimed_by } else { work.window };
         let next = (now + again).min(last.max(now + 1));
         for (to, ask) in asks {
@@ -406,6 +411,10 @@
                 request.and_then(|request| self.by_request.remove(&request));
                 self.free(now, number, out);
             }
+            Stage::Asking(proposal) if now >= work.claimed_by => {
+                let news = if proposal.has_seen_another() { News::Doubt } else { News::Unreached };
+                self.tell_last(number, news, out);
+            }
             Stage::Looking(..) | Stage::Settling(_) if now >= work.shared_by => {
                 self.counts.doubts += 1;
                 self.tell_last(number, News::Doubt, out);
@@ -419,7 +428,11 @@
                 let (key, by, turn) = (proposal.key(), *by, *turn);
                 self.look(now, number, key, by, turn, rng, out);
             }
-            Stage::Claiming(_) | Stage::Settling(_) | Stage::Ending(_) | Stage::Freeing(_) => {
+            Stage::Claiming(_)
+            | Stage::Asking(_)
+            | Stage::Settling(_)
+            | Stage::Ending(_)
+            | Stage::Freeing(_) => {
                 self.ask(now, number, out);
             }
         }
@@ -609,7 +622,15 @@
                 self.counts.doubts += 1;
                 self.tell_last(number, News::Doubt, out);
             }
-            (Stage::Claiming(_) | Stage::Settling(_) | Stage::Looking(..), Verdict::Ended(value)) => {
+            (Stage::Asking(_), Verdict::Nobodys) => self.tell_last(number, News::Nobodys, out),
+            (Stage::Asking(_), Verdict::Theirs(_) | Verdict::Unsure) => {
+                self.counts.doubts += 1;
+                self.tell_last(number, News::Doubt, out);
+            }
+            (
+                Stage::Claiming(_) | Stage::Asking(_) | Stage::Settling(_) | Stage::Looking(..),
+                Verdict::Ended(value),
+            ) => {
                 self.counts.shared += 1;
                 let news = match value.fate {
                     _ if value.body != body => News::Taken,
@@ -622,9 +643,10 @@
                 self.counts.copied += 1;
                 self.tell_last(number, News::Copied, out);
             }
-            (Stage::Claiming(_), Verdict::Full) => {
+            (Stage::Claiming(proposal), Verdict::Full) => {
                 self.counts.full += 1;
-                self.tell(number, News::Full, out);
+                let news = if proposal.has_seen_another() { News::Doubt } else { News::Full };
+                self.tell(number, news, out);
                 if let Some(request) = self.works.get(&number).map(|work| work.request) {
                     self.by_request.remove(&request);
                 }
--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod errand;
 pub mod holder;
+pub mod keeping;
 pub mod key;
 pub mod machine;
 pub mod place;
--- a/src/exchange/claims.rs
+++ b/src/exchange/claims.rs
@@ -6,13 +6,13 @@
 use tokio::sync::mpsc;
 
 use super::core::{Entry, Exchange, FAILSAFE_MS, Phase, Wait};
-use super::kept::State;
+use super::kept::{Key, State};
 use super::types::{Answer, Oddity, TryId};
 use crate::config::Late;
 use crate::copies::key::{Body, KeyId};
 use crate::copies::register::Fate;
 use crate::copies::{Claim, Errand, News};
-use crate::interface::{Event, Outcome, RequestId};
+use crate::interface::{Effect, Event, Outcome, RequestId};
 
 /// How long before the failsafe a claim's or a result's wait is over, in ms.
 const AHEAD_MS: f64 = 10.0;
@@ -48,7 +48,7 @@
         self
     }
 
-    fn send_errand(&self, errand: Errand) -> bool {
+    pub(super) fn send_errand(&self, errand: Errand) -> bool {
         self.copies.as_ref().is_some_and(|copies| copies.errands.send(errand).is_ok())
     }
 
@@ -57,19 +57,24 @@
         entry.due - FAILSAFE_MS - AHEAD_MS - self.clock.now()
     }
 
-    /// Claims the key of a request that is to run.
-    pub(super) fn claim(&mut self, id: RequestId, operation: &str) {
-        let now = self.clock.now();
-        let (Some(entry), Some(copies)) = (self.entries.get(&id), &self.copies) else { return };
+    /// What the holders are asked for a request's key.
+    fn claim_of(&self, id: RequestId, operation: &str) -> Option<Claim> {
+        let (entry, copies) = (self.entries.get(&id)?, self.copies.as_ref()?);
         let share_ms = whole(self.left_ms(entry));
-        let claim = Claim {
+        Some(Claim {
             request: id.0,
             key: KeyId::of(&self.site.classes[entry.class], operation),
             body: Body::of(&entry.body),
-            left_ms: whole(self.window_end(entry.class, entry.arrived) - now),
+            left_ms: whole(self.window_end(entry.class, entry.arrived) - self.clock.now()),
             wait_ms: share_ms.min(copies.claim_ms as u32),
             share_ms,
-        };
+        })
+    }
+
+    /// Claims the key of a request that is to run.
+    pub(super) fn claim(&mut self, id: RequestId, operation: &str) {
+        let now = self.clock.now();
+        let Some(claim) = self.claim_of(id, operation) else { return };
         let sent = self.send_errand(Errand::Claim(claim));
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.phase = Phase::Claiming { since: now, theirs: false };
@@ -79,11 +84,64 @@
         }
     }
 
+    /// Whether a try of a keyed request may come after one that has run at another node: it is marked so, or nobody
+    /// here marks any.
+    pub(super) fn may_have_run(&self, class: usize, further: bool) -> bool {
+        let settings = &self.site.settings;
+        let alone = |copies: &Copying| copies.alone.contains(&self.site.classes[class]);
+        settings.classes[class].effect == Effect::Keyed
+            && self.copies.as_ref().is_some_and(|copies| !alone(copies))
+            && (further || !settings.marks_further)
+    }
+
+    /// Has the holders say that nobody has run the key of a request, which is refused then. Until they do it is no try
+    /// that others here could share.
+    pub(super) fn look_first(&mut self, id: RequestId, stay_away_ms: f64, last: bool) {
+        let key = self.entries.get_mut(&id).and_then(|entry| entry.key.take());
+        let Some(Key::Operation(_, operation)) = &key else { return };
+        let look = self.claim_of(id, operation);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.phase = Phase::Asking { stay_away_ms, last };
+            entry.body = Bytes::new();
+        }
+        if let Some(key) = &key {
+            self.release(key, id);
+        }
+        if !look.is_some_and(|look| self.send_errand(Errand::Look(look))) {
+            self.copies_say(id, News::Unreached);
+        }
+    }
+
+    /// Answers a request that was to be refused, as far as the holders know of its key.
+    fn looked(&mut self, id: RequestId, news: News) {
+        let Some(Entry { of, phase: Phase::Asking { stay_away_ms, last }, .. }) = self.entries.get(&id)
+        else {
+            return;
+        };
+        let (of, refused) = (*of, Answer::Refused { stay_away_ms: *stay_away_ms, last: *last });
+        let answer = match news {
+            News::Nobodys => refused,
+            News::Done(result) => Answer::Served(result),
+            News::Taken => {
+                self.note(Oddity::Taken, of);
+                Answer::Failed
+            }
+            News::Failed => Answer::Failed,
+            _ => {
+                self.note(Oddity::Doubt, of);
+                Answer::Failed
+            }
+        };
+        self.answer(id, answer);
+        self.drop_unrun(id);
+    }
+
     /// Hears what came of an errand.
     pub(super) fn copies_say(&mut self, id: RequestId, news: News) {
         let now = self.clock.now();
         let Some(entry) = self.entries.get_mut(&id) else { return };
         match (&mut entry.phase, news) {
+            (Phase::Asking { .. }, news) => self.looked(id, news),
             (Phase::Claiming { since, .. }, News::Mine) => {
                 (entry.claimed, entry.claim_ms) = (true, now - *since);
                 self.begin_run(id);
@@ -97,11 +155,8 @@
             }
             (Phase::Claiming { .. }, News::Failed) => self.claim_over(id, State::Failed),
             (Phase::Claiming { .. }, News::Doubt)
-            | (Phase::Claiming { theirs: true, .. }, News::Unreached | News::Full) => {
-                let of = entry.of;
-                self.note(Oddity::Doubt, of);
-                self.claim_over(id, State::Failed);
-            }
+            | (Phase::Claiming { theirs: true, .. }, News::Unreached | News::Full) => self.in_doubt(id),
+            (Phase::Claiming { .. }, News::Unreached) if entry.further => self.in_doubt(id),
             (Phase::Claiming { .. }, News::Unreached) => self.unreached(id),
             (Phase::Claiming { .. }, News::Full) => self.unclaimed(id, Oddity::HoldersFull),
             (Phase::Copying(_), News::Copied) => self.copied(id),
@@ -132,6 +187,15 @@
         self.drop_claim(id, &State::Failed, false);
     }
 
+    /// Fails a request whose key another node may have run. Nothing is known of the key: the next try asks again.
+    fn in_doubt(&mut self, id: RequestId) {
+        let Some(of) = self.entries.get(&id).map(|entry| entry.of) else { return };
+        self.note(Oddity::Doubt, of);
+        self.answer(id, Answer::Failed);
+        self.events.push(Event::Done { id, outcome: Outcome::Moot, took_ms: 0.0 });
+        self.drop_claim(id, &State::Failed, false);
+    }
+
     /// Answers a request with what came of another node's run of its key.
     fn claim_over(&mut self, id: RequestId, state: State) {
         let answer = match &state {
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -18,6 +18,7 @@
 use super::kept::{Kept, Key, State};
 use super::types::{Answer, Ask, Call, Command, Input, Oddity, Posture, ReplyTo, TryId};
 use crate::config::{Site, gauges};
+use crate::copies::Errand;
 use crate::interface::{
     Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, Settings, SettingsError,
 };
@@ -102,6 +103,11 @@
         since: f64,
         theirs: bool,
     },
+    /// It was to be refused, and the holders are asked whether anybody has run its key. The decision module is done with it.
+    Asking {
+        stay_away_ms: f64,
+        last: bool,
+    },
     Running,
     Waiting(Pending),
     /// It has run, and its result is copied ahead of its answer.
@@ -127,6 +133,8 @@
     /// Whether its key is claimed at further nodes, and how long that took, in ms.
     pub(super) claimed: bool,
     pub(super) claim_ms: f64,
+    /// Whether its key may have run at another node.
+    pub(super) further: bool,
     /// Work to expect, where its caller says.
     hint_ms: Option<f64>,
     /// Gone once the request is answered or given up.
@@ -381,9 +389,9 @@
 
     fn submit(&mut self, id: RequestId, ask: Ask, reply: ReplyTo) {
         let now = self.clock.now();
+        let further = ask.op_key.is_some() && self.may_have_run(ask.class, ask.further);
         if !self.up {
-            let answer = Answer::Refused { stay_away_ms: self.site.settings.max_retry_after_ms, last: false };
-            return reply.send(answer, self.posture.level);
+            return reply.send(self.turned_away(further), self.posture.level);
         }
         if self.by_try.contains_key(&ask.of) {
             // Guards the open request of that name: its run and its answer stay its own.
@@ -410,8 +418,7 @@
         let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
         // A key that is there takes no further room, and its run may be over: its repeats get the result.
         if key.is_some() && earlier.is_none() && self.kept.is_full() {
-            let answer = Answer::Refused { stay_away_ms: settings.max_retry_after_ms, last: false };
-            reply.send(answer, self.posture.level);
+            reply.send(self.turned_away(further), self.posture.level);
             return self.note(Oddity::TableFull, ask.of);
         }
         if self.successor.is_some() && earlier.is_none() && key.as_ref().is_some_and(Key::is_operation) {
@@ -454,6 +461,7 @@
             body,
             claimed,
             claim_ms,
+            further,
             hint_ms,
             reply,
             due,
@@ -463,6 +471,14 @@
         self.entries.insert(id, entry);
     }
 
+    /// The answer to one that is not taken in. One that may have run at another node is not refused unasked.
+    fn turned_away(&self, further: bool) -> Answer {
+        match further {
+            true => Answer::Failed,
+            false => Answer::Refused { stay_away_ms: self.site.settings.max_retry_after_ms, last: false },
+        }
+    }
+
     fn fail_taken(&mut self, of: TryId, reply: ReplyTo) {
         reply.send(Answer::Failed, self.posture.level);
         self.note(Oddity::Taken, of);
@@ -471,9 +487,16 @@
     fn abandon(&mut self, id: RequestId) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.reply = None;
+            self.gone(id);
+        }
+    }
+
+    /// Nobody waits for a request any more, and the decision module has not said so.
+    fn gone(&mut self, id: RequestId) {
+        if !self.entries.get(&id).is_some_and(|entry| matches!(entry.phase, Phase::Asking { .. })) {
             self.events.push(Event::Gone(id));
-            self.settled(id);
         }
+        self.settled(id);
     }
 
     /// Drops what is left of a request that is owed no answer any more. A run goes on to its end.
@@ -491,6 +514,9 @@
             let lost_ms = LOST_DEADLINES * self.site.settings.classes[entry.class].deadline_ms;
             self.waits.insert(Wait::Lost(id), Duration::from_secs_f64(lost_ms / 1000.0));
         } else {
+            if matches!(entry.phase, Phase::Asking { .. }) {
+                self.send_errand(Errand::GiveUp { request: id.0 });
+            }
             self.drop_unrun(id);
         }
     }
@@ -507,16 +533,21 @@
         }
     }
 
-    fn drop_unrun(&mut self, id: RequestId) {
+    pub(super) fn drop_unrun(&mut self, id: RequestId) {
         let Some(entry) = self.entries.remove(&id) else { return };
         self.forget_try(entry.of, id);
         if let Some(key) = entry.key.filter(|_| matches!(entry.phase, Phase::Held)) {
-            let waiting = self.kept.release(&key, id);
-            self.hand_on(&key);
-            self.pass_on(waiting, &State::Failed);
+            self.release(&key, id);
         }
     }
 
+    /// Leaves a key that never ran to others.
+    pub(super) fn release(&mut self, key: &Key, id: RequestId) {
+        let waiting = self.kept.release(key, id);
+        self.hand_on(key);
+        self.pass_on(waiting, &State::Failed);
+    }
+
     pub(super) fn forget_try(&mut self, of: TryId, id: RequestId) {
         if self.by_try.get(&of) == Some(&id) {
             self.by_try.remove(&of);
@@ -667,13 +698,12 @@
         entry.failsafe = None;
         let of = entry.of;
         let answer = match entry.phase {
-            Phase::Held => Answer::Refused { stay_away_ms: 0.0, last: false },
+            Phase::Held if !entry.further => Answer::Refused { stay_away_ms: 0.0, last: false },
             _ => Answer::Failed,
         };
         self.note(Oddity::Failsafe, of);
         self.answer(id, answer);
-        self.events.push(Event::Gone(id));
-        self.settled(id);
+        self.gone(id);
     }
 
     /// Asks for the gauges, one question at a time: guards against a queue of them that grows for as long as
@@ -765,6 +795,9 @@
         let Some(entry) = self.entries.get(&id) else { return };
         // Nothing that ran, or shares a run, is ever refused: that would be a promise that it never ran.
         let answer = match entry.phase {
+            Phase::Held if entry.further && entry.key.is_some() && entry.reply.is_some() => {
+                return self.look_first(id, stay_away_ms, last);
+            }
             Phase::Held => Answer::Refused { stay_away_ms, last },
             _ => Answer::Failed,
         };
--- a/src/fleet/copying.rs
+++ b/src/fleet/copying.rs
@@ -1,7 +1,7 @@
 //! The copies' sockets: hands what comes to the machine, and does what that says. Questions and answers are datagrams
 //! where they fit; long ones, and keys that are fetched, go over connections.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,7 +15,8 @@
 use tokio::time::timeout;
 
 use crate::config::CopiesTable;
-use crate::copies::disk::{Change as Kept, Disk};
+use crate::copies::disk::{Change as Kept, Disk, Found};
+use crate::copies::keeping::Keeping;
 use crate::copies::key::KeyId;
 use crate::copies::report::{Report, Zone};
 use crate::copies::slots::Terms;
@@ -28,8 +29,8 @@
 
 /// How long another node has for an answer on a connection.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// Keys whose windows are over that wait to be taken off the disk.
-const MOST_GONE: usize = 256;
+/// Time after a sync that has failed until the next one.
+const REST: Duration = Duration::from_millis(500);
 /// Connections to other nodes at once.
 const CONNECTIONS: usize = 8;
 
@@ -63,6 +64,8 @@
     Fetched(u64, Fetch, Option<Page>),
     /// What was to be synced is, or not.
     Synced(bool),
+    /// The time after a sync that has failed is over.
+    Rested,
     /// The store has made a change, which is in the view of this number, or has not.
     Changed(Option<u64>),
 }
@@ -73,13 +76,7 @@
 /// What is kept on disk and what waits for that.
 struct Keeper {
     disk: Arc<Disk>,
-    /// Under way, and to come.
-    syncing: BTreeSet<KeyId>,
-    dirty: BTreeSet<KeyId>,
-    /// To be dropped with whatever is synced next.
-    gone: BTreeSet<KeyId>,
-    held_back: Vec<(Target, Message)>,
-    waiting: Vec<(Target, Message)>,
+    keeping: Keeping<(Target, Message)>,
 }
 
 /// The copies of a node, beside its part in the fleet.
@@ -133,29 +130,29 @@
     /// where copies are in memory and end with the process.
     pub(super) fn take_up(&mut self, now: u64, life: impl Fn(u64) -> Option<u64>) -> Result<u64, String> {
         let Some(directory) = self.part.table.directory.clone() else { return Ok(rand::random()) };
-        let (disk, found) = Disk::open(&directory, now).map_err(|e| e.to_string())?;
-        let mut rows = found.rows;
-        if let Some(me) = life(found.birth) {
+        let (disk, Found { mut birth, mut rows, is_old }) =
+            Disk::open(&directory, now).map_err(|e| e.to_string())?;
+        let me = life(birth).filter(|_| !is_old);
+        if let Some(me) = me {
             let own = rows.remove(&me).unwrap_or_default();
             info!("{} keys are held as before", own.len());
             self.machine.holder_mut().restore(me, own);
+        } else if is_old || !rows.is_empty() {
+            // Whoever counts on what was held here would count on what is not there.
+            let why =
+                if is_old { "older than what was kept here last" } else { "of a life that is not known" };
+            warn!("{} is {why}: the node comes back as another life", directory.display());
+            birth = rand::random();
+            disk.renew(birth).map_err(|e| e.to_string())?;
         }
-        self.keeper = Some(Keeper {
-            disk: Arc::new(disk),
-            syncing: BTreeSet::new(),
-            dirty: BTreeSet::new(),
-            gone: BTreeSet::new(),
-            held_back: Vec::new(),
-            waiting: Vec::new(),
-        });
-        Ok(found.birth)
+        self.keeper = Some(Keeper { disk: Arc::new(disk), keeping: Keeping::default() });
+        Ok(birth)
     }
 
     /// Begins another life of the node, whose copies were given up.
     pub(super) fn renew(&mut self, birth: u64) {
         if let Some(keeper) = &mut self.keeper {
-            keeper.waiting.clear();
-            keeper.dirty.clear();
+            keeper.keeping.renew();
             if let Err(problem) = keeper.disk.renew(birth) {
                 error!("the copies of the life before are not given up: {problem}");
             }
@@ -190,10 +187,7 @@
         let out = self.machine.tick(now, alive, rng);
         let gone = self.machine.holder_mut().take_gone();
         if let Some(keeper) = &mut self.keeper {
-            keeper.gone.extend(gone);
-            if keeper.gone.len() >= MOST_GONE {
-                keeper.dirty.append(&mut keeper.gone);
-            }
+            keeper.keeping.gone(gone);
         }
         self.carry_out(now, out, None)
     }
@@ -285,13 +279,18 @@
                 if let Some(page) = page {
                     let changed = self.machine.fetched(now, from, &fetch, page);
                     if let Some(keeper) = &mut self.keeper {
-                        keeper.dirty.extend(changed);
+                        keeper.keeping.learned(&changed);
                     }
-                    self.sync(now);
                 }
                 Vec::new()
             }
             Woken::Inside(Inside::Synced(well)) => return (self.synced(now, well), false),
+            Woken::Inside(Inside::Rested) => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.keeping.rested();
+                }
+                Vec::new()
+            }
             Woken::Inside(Inside::Changed(number)) => {
                 self.settling = false;
                 self.awaited = self.awaited.max(number.unwrap_or(0));
@@ -324,31 +323,43 @@
     pub(super) fn page(&self, now: u64, fetch: &Fetch) -> PeerAnswer {
         // What is not synced yet is not told: it may be gone after a loss of power.
         let unsynced = |page: &Page| {
-            let open = |key: &KeyId| {
-                self.keeper.as_ref().is_some_and(|k| k.dirty.contains(key) || k.syncing.contains(key))
-            };
-            page.records.iter().any(|record| open(&record.key))
+            let open = |key| self.keeper.as_ref().is_some_and(|keeper| keeper.keeping.is_open(key));
+            page.records.iter().any(|record| open(record.key))
         };
         PeerAnswer::Page(self.machine.page(now, fetch).filter(|page| !unsynced(page)))
     }
 
+    /// The slots of which nothing is left to be synced of what was fetched: a loss of power takes nothing of them.
+    fn safe(&self, mut slots: Vec<(u16, u64)>) -> Vec<(u16, u64)> {
+        if let Some(keeper) = &self.keeper {
+            slots.retain(|(slot, _)| !keeper.keeping.is_learning(*slot));
+        }
+        slots
+    }
+
     fn carry_out(&mut self, now: u64, out: Vec<Out>, target: Option<Target>) -> Vec<Datagram> {
         let (mut datagrams, mut target) = (Vec::new(), target);
         for out in out {
             match out {
+                // What is held back here is said again before long.
+                Out::Send(to, Message::Complete { from, slots }) => {
+                    let slots = self.safe(slots);
+                    if !slots.is_empty() {
+                        self.send(to, Message::Complete { from, slots }, &mut datagrams);
+                    }
+                }
                 Out::Send(to, message) => self.send(to, message, &mut datagrams),
                 Out::Whole(to, message) => self.ask_whole(to, message),
                 Out::Reply(message) => reply(target.take(), message, &mut datagrams),
                 Out::Answer(message, key, changed) => {
                     let Some(target) = target.take() else { continue };
-                    match self.keeper.as_mut().filter(|keeper| {
-                        changed || keeper.dirty.contains(&key) || keeper.syncing.contains(&key)
-                    }) {
-                        Some(keeper) => {
+                    let keeping = self.keeper.as_mut().map(|keeper| &mut keeper.keeping);
+                    match keeping.filter(|keeping| changed || keeping.is_open(key)) {
+                        Some(keeping) => {
                             if changed {
-                                keeper.dirty.insert(key);
+                                keeping.changed(key);
                             }
-                            keeper.waiting.push((target, message));
+                            keeping.wait((target, message));
                         }
                         None => reply(Some(target), message, &mut datagrams),
                     }
@@ -356,7 +367,10 @@
                 Out::Tell(request, news) => drop(self.part.news.send((request, news))),
                 Out::Fetch(from, fetch) => self.fetch(from, fetch),
                 Out::Settle(settled) if !self.settling && self.store.number.get() >= self.awaited => {
-                    self.change(Change::Settled(settled));
+                    let settled = self.safe(settled);
+                    if !settled.is_empty() {
+                        self.change(Change::Settled(settled));
+                    }
                 }
                 Out::Settle(_) => {}
                 Out::Newer(node) => datagrams.extend(self.newer(node)),
@@ -416,20 +430,15 @@
 
     /// Syncs all that has changed since the last sync began, when that is over.
     fn sync(&mut self, now: u64) {
-        let Some(keeper) = self.keeper.as_mut().filter(|keeper| keeper.syncing.is_empty()) else { return };
-        if keeper.dirty.is_empty() {
-            return;
-        }
-        keeper.syncing = std::mem::take(&mut keeper.dirty);
-        keeper.syncing.append(&mut keeper.gone);
-        keeper.held_back = std::mem::take(&mut keeper.waiting);
+        let Some(keeper) = &mut self.keeper else { return };
+        let Some(keys) = keeper.keeping.begin() else { return };
         let (holder, slots) = (self.machine.holder(), self.machine.slots());
         let change = |key: &KeyId| Kept {
             key: *key,
             epoch: slots.get(key.slot()).map_or(0, |slot| slot.epoch),
             held: holder.get(*key).cloned(),
         };
-        let changes: Vec<Kept> = keeper.syncing.iter().map(change).collect();
+        let changes: Vec<Kept> = keys.iter().map(change).collect();
         let (disk, inside, life) = (keeper.disk.clone(), self.inside.clone(), holder.life().unwrap_or(0));
         spawn_local(async move {
             let kept = spawn_blocking(move || disk.keep(life, now, &changes)).await;
@@ -451,20 +460,20 @@
     fn synced(&mut self, now: u64, well: bool) -> Vec<Datagram> {
         let mut datagrams = Vec::new();
         if let Some(keeper) = &mut self.keeper {
-            let keys = std::mem::take(&mut keeper.syncing);
-            let answers = std::mem::take(&mut keeper.held_back);
             if well {
-                answers.into_iter().for_each(|(target, message)| {
+                keeper.keeping.synced().into_iter().for_each(|(target, message)| {
                     reply(Some(target), message, &mut datagrams);
                 });
             } else {
-                // They are on no disk yet: whatever is said of them waits for the next try.
-                keeper.dirty.extend(keys);
+                keeper.keeping.failed();
+                let inside = self.inside.clone();
+                spawn_local(async move {
+                    tokio::time::sleep(REST).await;
+                    let _ = inside.send(Inside::Rested);
+                });
             }
         }
-        if well {
-            self.sync(now);
-        }
+        self.sync(now);
         datagrams
     }
 
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -44,6 +44,11 @@
 const DONE_WITHIN: Duration = Duration::from_secs(8);
 /// The daemon looks at itself this often at least, in ms.
 const LONGEST_SLEEP_MS: u64 = 60_000;
+/// How long a process may take to end once it has handed all over, and how often the next one looks whether it has.
+const ENDS_WITHIN: Duration = Duration::from_secs(10);
+const ENDS_LOOK: Duration = Duration::from_millis(20);
+/// How long a node is heard after the view has it no more: longer than a process has to end.
+const HEARD_AFTER: Duration = Duration::from_secs(120);
 /// Time between two questions for the view by a node that leaves.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Nodes that are told of a new view at once where copies are kept.
@@ -164,6 +169,7 @@
         bell,
         store: store.clone(),
         neighbours: BTreeSet::new(),
+        gone: BTreeMap::new(),
         began,
         rng: SmallRng::from_rng(&mut rng()),
         passed_over: 0,
@@ -178,8 +184,7 @@
         let socket = UdpSocket::bind(SocketAddr::new(daemon.table.listen.ip(), 0)).await?;
         daemon.run(&socket, &mut inputs, true).await;
     }
-    let socket = UdpSocket::bind(daemon.table.listen).await?;
-    let door = TcpListener::bind(socket.local_addr()?).await?;
+    let (socket, door) = take_place(daemon.table.listen, guest).await?;
     info!("{} listens for the fleet on {}", daemon.name, door.local_addr()?);
     spawn_local(open_door(door, asked, store.clone()));
     daemon.settle_in(socket.local_addr()?)?;
@@ -190,6 +195,25 @@
     Ok(())
 }
 
+/// The node's address, for datagrams and connections. Behind another process of the node it may be taken for as long as
+/// that one needs to end.
+async fn take_place(listen: SocketAddr, follows: bool) -> io::Result<(UdpSocket, TcpListener)> {
+    let last = Instant::now() + if follows { ENDS_WITHIN } else { Duration::ZERO };
+    loop {
+        let taken = async {
+            let socket = UdpSocket::bind(listen).await?;
+            let door = TcpListener::bind(socket.local_addr()?).await?;
+            Ok::<_, io::Error>((socket, door))
+        };
+        match taken.await {
+            Err(problem) if problem.kind() == io::ErrorKind::AddrInUse && Instant::now() < last => {
+                sleep(ENDS_LOOK).await;
+            }
+            taken => return taken,
+        }
+    }
+}
+
 /// What wakes the daemon beside datagrams and times.
 struct Inputs {
     hears: mpsc::Receiver<Heard>,
@@ -380,6 +404,8 @@
     store: Rc<Store>,
     /// Where nodes that belong or have just left are.
     neighbours: BTreeSet<IpAddr>,
+    /// Where nodes were that are in the view no more, and since when.
+    gone: BTreeMap<IpAddr, Instant>,
     began: Instant,
     rng: SmallRng,
     passed_over: u64,
@@ -614,9 +640,12 @@
         }
     }
 
-    /// Whether an address is that of a node that belongs or has just left; another process of one asks from another port.
+    /// Whether an address is that of a node that belongs or did a while ago; another process of one asks from another
+    /// port. One that has left ends its runs still and has their results copied, and its next process claims keys before
+    /// it belongs itself.
     fn is_neighbour(&self, from: SocketAddr) -> bool {
-        self.neighbours.contains(&from.ip())
+        let gone = self.gone.get(&from.ip());
+        self.neighbours.contains(&from.ip()) || gone.is_some_and(|since| since.elapsed() < HEARD_AFTER)
     }
 
     fn pass_over(&mut self, from: SocketAddr, why: &str) {
@@ -662,7 +691,11 @@
         let now = self.now();
         self.liveness.turn_to(now, self.view.number(), self.addresses.keys().copied());
         let all = self.view.nodes().chain(self.view.leaving());
-        self.neighbours = all.map(|node| node.applicant.address.ip()).collect();
+        let before =
+            std::mem::replace(&mut self.neighbours, all.map(|node| node.applicant.address.ip()).collect());
+        let now_gone = before.into_iter().filter(|ip| !self.neighbours.contains(ip));
+        self.gone.retain(|_, since| since.elapsed() < HEARD_AFTER);
+        self.gone.extend(now_gone.map(|ip| (ip, Instant::now())));
         self.shown.send_replace(self.view.clone());
         self.keep_on();
         let hands_on = self.leaving.filter(|life| self.view.leaving().any(|node| node.incarnation == *life));
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -16,7 +16,7 @@
 mod member;
 mod steward;
 mod wire;
-mod witness;
+pub(crate) mod witness;
 mod writer;
 
 use std::collections::BTreeMap;
--- a/src/store/witness.rs
+++ b/src/store/witness.rs
@@ -16,7 +16,7 @@
 
 /// The file beside a directory.
 #[derive(Debug)]
-pub(super) struct Witness(File);
+pub(crate) struct Witness(File);
 
 fn path(directory: &Path) -> Option<PathBuf> {
     let mut name = directory.file_name()?.to_owned();
--- a/tests/copies_rules.rs
+++ b/tests/copies_rules.rs
@@ -12,6 +12,7 @@
 use rig::copied::{Broken, Seen, Weather, World, judge};
 use rstest::rstest;
 use sillflow::copies::holder::Holder;
+use sillflow::copies::keeping::Keeping;
 use sillflow::copies::key::{Body, KeyId, SLOTS};
 use sillflow::copies::place::{Candidate, Field};
 use sillflow::copies::proposal::{Next, Proposal, Verdict, Wish};
@@ -241,6 +242,9 @@
     assert_eq!(judge(&[Seen::Done { key: 1, run: 1 }]), [Broken::OtherResult(1)]);
     let two = [began(1), Seen::Done { key: 1, run: 1 }, began(2), Seen::Done { key: 1, run: 2 }];
     assert_eq!(judge(&two), [Broken::SecondRun(1), Broken::OtherResult(1)]);
+    let refused = |asked| Seen::Refused { key: 1, asked };
+    assert_eq!(judge(&[refused(0), began(1), refused(0)]), [], "it was asked for before it began");
+    assert_eq!(judge(&[began(1), refused(1)]), [Broken::Denied(1)]);
 }
 
 #[rstest]
@@ -323,6 +327,59 @@
     assert_eq!(judge(&world.seen), []);
 }
 
+fn in_slot(slot: u16, key: u128) -> KeyId {
+    KeyId(u128::from(slot) << 120 | key)
+}
+
+#[rstest]
+fn a_slot_is_not_complete_before_all_that_was_fetched_for_it_is_synced() {
+    let mut keeping = Keeping::<&str>::default();
+    keeping.learned(&[in_slot(3, 1), in_slot(3, 2)]);
+    assert!(keeping.is_learning(3) && !keeping.is_learning(2) && !keeping.is_learning(4));
+    assert_eq!(keeping.begin(), Some(vec![in_slot(3, 1), in_slot(3, 2)]));
+    assert!(keeping.is_learning(3), "it is under way");
+    // One of them changes again meanwhile; another slot's key comes.
+    keeping.changed(in_slot(3, 2));
+    keeping.learned(&[in_slot(4, 1)]);
+    keeping.synced();
+    assert!(keeping.is_learning(3) && keeping.is_learning(4));
+    keeping.begin();
+    keeping.synced();
+    assert!(!keeping.is_learning(3) && !keeping.is_learning(4));
+}
+
+#[rstest]
+fn what_a_holder_says_waits_for_the_sync_that_has_it() {
+    let mut keeping = Keeping::default();
+    keeping.changed(in_slot(1, 1));
+    keeping.wait("first");
+    assert!(keeping.begin().is_some());
+    keeping.changed(in_slot(1, 2));
+    keeping.wait("second");
+    assert_eq!(keeping.begin(), None, "one sync at a time");
+    assert_eq!(keeping.synced(), ["first"]);
+    assert!(keeping.is_open(in_slot(1, 2)) && !keeping.is_open(in_slot(1, 1)));
+    assert_eq!(keeping.begin(), Some(vec![in_slot(1, 2)]));
+    assert_eq!(keeping.synced(), ["second"]);
+}
+
+#[rstest]
+fn a_sync_that_fails_says_nothing_and_is_tried_again_after_a_rest() {
+    let mut keeping = Keeping::default();
+    keeping.learned(&[in_slot(1, 1)]);
+    keeping.wait("said while it was open");
+    keeping.begin();
+    keeping.wait("said while it was under way");
+    keeping.failed();
+    keeping.wait("said while the disk rests");
+    assert!(keeping.is_open(in_slot(1, 1)) && keeping.is_learning(1));
+    assert_eq!(keeping.begin(), None, "it rests");
+    keeping.rested();
+    assert_eq!(keeping.begin(), Some(vec![in_slot(1, 1)]), "and goes on with nothing new");
+    assert_eq!(keeping.synced(), [] as [&str; 0]);
+    assert!(!keeping.is_learning(1));
+}
+
 /// A drawn history: callers, weather, cuts, lost machines and changes of the view, within one window.
 fn history(seed: u64, plant: Option<fn(&mut Message)>) -> World {
     let mut world = World::new(seed, 5 + (seed % 5) as usize, 3);
@@ -359,7 +416,7 @@
             }
             _ => {
                 let key = world.rng.random_range(0..12);
-                world.ask(n, key);
+                if world.rng.random_bool(0.2) { world.ask_busy(n, key) } else { world.ask(n, key) }
             }
         }
         if let Some((n, at)) = lost
@@ -408,6 +465,11 @@
         *accepted = None;
     }
 })]
+#[case::holders_do_not_say_what_they_have(|message: &mut Message| {
+    if let Message::Said { said: Some(Said::Holds(held)), .. } = message {
+        *held = None;
+    }
+})]
 #[case::a_window_of_the_wrong_length(|message: &mut Message| {
     if let Message::Ask { ask: Ask { what: What::Accept { left_ms, .. } | What::Prepare { left_ms, .. }, .. }, .. } = message {
         *left_ms = 1;
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -18,7 +18,7 @@
     rig.form(3);
     rig.kill(3);
     rig.led(&[1, 2]);
-    rig.set(1, "a", "one").expect("two of three agree");
+    rig.writes(1, "a", "one");
     rig.kill(1);
     rig.kill(2);
     rig.wipe(2);
@@ -30,11 +30,11 @@
     assert!(rig.get(2, "a").is_err(), "a blank member answers for nobody");
     rig.up(1);
     rig.led(&[1, 3]);
-    assert_eq!(rig.get(3, "a"), Ok(Some("one".to_owned())));
-    rig.set(3, "b", "later").expect("a majority is back");
+    assert_eq!(rig.reads(3, "a"), Some("one".to_owned()));
+    rig.writes(3, "b", "later");
     until("the blank member votes again", PATIENCE, || rig.voters(1) == [1, 2, 3]);
-    assert_eq!(rig.get(2, "a"), Ok(Some("one".to_owned())));
-    assert_eq!(rig.get(1, "b"), Ok(Some("later".to_owned())));
+    assert_eq!(rig.reads(2, "a"), Some("one".to_owned()));
+    assert_eq!(rig.reads(1, "b"), Some("later".to_owned()));
 }
 
 /// Plays of faults and callers; each prints what it does, and the same seed does it again.
@@ -67,14 +67,14 @@
     rig.form(3);
     let leader = rig.led(&[1, 2, 3]);
     let rest = others(leader, &[1, 2, 3]);
-    rig.set(leader, "a", "before").expect("it serves");
+    rig.writes(leader, "a", "before");
     rig.relay.split(&[leader], &rest);
     let began = Instant::now();
     let said = rig.set(leader, "a", "cut off").expect_err("no majority is heard");
     assert!(began.elapsed() < Duration::from_secs(7), "{:?}", began.elapsed());
     assert!(said.contains("Unsure"), "what was begun may be done later: {said}");
     rig.led(&rest);
-    rig.set(rest[0], "a", "after").expect("the others lead on");
+    rig.writes(rest[0], "a", "after");
     let stale = rig.get(leader, "a");
     assert!(stale.is_err(), "who is cut off answers nothing as of now: {stale:?}");
     // What it has is to be had for the asking, with its age.
@@ -111,7 +111,7 @@
     rig.relay.link(leader, rest[0], |link| link.cut = true);
     let until = Instant::now() + Duration::from_secs(4);
     while Instant::now() < until {
-        rig.set(rest[1], "a", "one").expect("it serves");
+        rig.writes(rest[1], "a", "one");
     }
     assert_ne!(rig.leader(&[leader, rest[1]]), None, "one that is heard leads still");
 }
@@ -122,10 +122,10 @@
     rig.form(3);
     let leader = rig.led(&[1, 2, 3]);
     let rest = others(leader, &[1, 2, 3]);
-    rig.set(leader, "a", "before").expect("it serves");
+    rig.writes(leader, "a", "before");
     rig.signal(leader, "-STOP");
     rig.led(&rest);
-    rig.set(rest[0], "a", "after").expect("the others lead on");
+    rig.writes(rest[0], "a", "after");
     rig.signal(leader, "-CONT");
     until("it answers", PATIENCE, || match rig.get(leader, "a") {
         Ok(now) => {
@@ -140,7 +140,7 @@
 fn two_of_three_machines_lost_one_with_its_disk() {
     let mut rig = Rig::new(3);
     rig.form(3);
-    rig.set(2, "a", "one").expect("it serves");
+    rig.writes(2, "a", "one");
     rig.kill(2);
     rig.kill(3);
     rig.wipe(3);
@@ -152,9 +152,9 @@
     assert!(rig.set(1, "b", "three").is_err(), "a blank disk makes no majority");
     rig.up(2);
     until("writes are acknowledged", PATIENCE, || rig.set(1, "b", "four").is_ok());
-    assert_eq!(rig.get(2, "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(2, "a"), Some("one".to_owned()));
     until("all three vote", PATIENCE, || rig.voters(1) == [1, 2, 3]);
-    assert_eq!(rig.get(3, "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(3, "a"), Some("one".to_owned()));
 }
 
 #[rstest]
@@ -162,13 +162,13 @@
     let mut rig = Rig::new(3);
     rig.form(3);
     let before = word(&rig, 3);
-    rig.set(1, "a", "one").expect("it serves");
+    rig.writes(1, "a", "one");
     rig.kill(3);
     rig.wipe(3);
     rig.up(3);
     until("all three vote", PATIENCE, || rig.voters(1) == [1, 2, 3]);
     assert_ne!(word(&rig, 3), before);
-    assert_eq!(rig.get(3, "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(3, "a"), Some("one".to_owned()));
 }
 
 #[rstest]
@@ -195,7 +195,7 @@
     rig.up(3);
     rig.logged(3, said);
     until("all three vote", PATIENCE, || rig.voters(1) == [1, 2, 3] && word(&rig, 3) != before);
-    assert_eq!(rig.get(3, "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(3, "a"), Some("one".to_owned()));
     let aside = std::fs::read_dir(rig.directory(3)).expect("a folder").flatten();
     let aside = aside.filter(|entry| entry.file_name().to_string_lossy().contains("aside")).count();
     assert_eq!(aside, 1, "what was there is kept");
@@ -234,7 +234,7 @@
     // One that knows the others asks by itself; it only follows until an operator says so.
     rig.start(4, &[1, 2, 3]);
     until("it is a learner", PATIENCE, || rig.status(4).is_some_and(|status| status.role == Role::Learner));
-    rig.set(1, "a", "one").expect("it serves");
+    rig.writes(1, "a", "one");
     until("it follows", PATIENCE, || {
         let local = rig.ask(4, Query::Read { prefix: "a".to_owned(), local: true });
         matches!(local, Ok(Answer::Contents { entries, .. }) if entries.contains_key("a"))
@@ -262,7 +262,7 @@
     });
     until("it is promoted", PATIENCE, || rig.wish(leader, Wish::Promote(gone as u64)).is_ok());
     assert_eq!(rig.voters(leader), [1, 2, 3, 4]);
-    assert_eq!(rig.get(gone, "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(gone, "a"), Some("one".to_owned()));
 }
 
 #[rstest]
@@ -275,7 +275,7 @@
     until("the spare follows", PATIENCE, || rig.status(4).is_some_and(|status| status.role == Role::Learner));
     let leader = rig.led(&[1, 2, 3]);
     let rest = others(leader, &[1, 2, 3]);
-    rig.set(1, "a", "one").expect("it serves");
+    rig.writes(1, "a", "one");
     rig.kill(rest[0]);
     let three = |out: usize| (1..=4).filter(|n| *n != out as u64).collect::<Vec<u64>>();
     until("the spare votes", PATIENCE, || rig.voters(leader) == three(rest[0]));
@@ -291,7 +291,7 @@
     });
     rig.kill(rest[1]);
     until("it votes again", PATIENCE, || rig.voters(leader) == three(rest[1]));
-    assert_eq!(rig.get(rest[0], "a"), Ok(Some("one".to_owned())));
+    assert_eq!(rig.reads(rest[0], "a"), Some("one".to_owned()));
 }
 
 /// The newcomer is killed, or loses its disk, while it is made a voter.
@@ -314,14 +314,14 @@
     if wiped {
         rig.wipe(4);
     }
-    rig.set(1, "a", "one").expect("three of four are a majority");
+    rig.writes(1, "a", "one");
     rig.up(4);
     // Whether the change had begun or not, it can be made and the members agree.
     until("four vote", PATIENCE, || {
         let _ = rig.wish(1, Wish::Promote(4));
         rig.voters(1) == [1, 2, 3, 4]
     });
-    assert_eq!(rig.get(4, "a"), Ok(Some("one".to_owned())), "{said:?}");
+    assert_eq!(rig.reads(4, "a"), Some("one".to_owned()), "{said:?}");
 }
 
 #[rstest]
@@ -346,8 +346,8 @@
     let mut rig = Rig::new(4);
     rig.form(3);
     let value = "v".repeat(60_000);
-    (0..50).for_each(|n| assert!(rig.set(1, &format!("big/{n}"), &value).is_ok()));
-    (0..800).for_each(|n| assert!(rig.set(1, "small", &n.to_string()).is_ok()));
+    (0..50).for_each(|n| rig.writes(1, &format!("big/{n}"), &value));
+    (0..800).for_each(|n| rig.writes(1, "small", &n.to_string()));
     let leader = rig.led(&[1, 2, 3]);
     rig.relay.link(leader, 4, |link| link.rate = Some(2_000_000));
     rig.start(4, &[1, 2, 3]);
@@ -399,7 +399,7 @@
     let until = Instant::now() + Duration::from_secs(3);
     while Instant::now() < until {
         rig.relay.both(leader, rest[0], |link| link.broken += 1);
-        rig.set(rest[0], "a", "one").expect("it serves");
+        rig.writes(rest[0], "a", "one");
     }
     assert!(rig.relay.calls(leader, rest[0]) > 3, "the link was made again and again");
 }
@@ -413,7 +413,7 @@
     let mut rig = Rig::new(3);
     rig.form(3);
     let value = "v".repeat(60_000);
-    (0..12).for_each(|n| assert!(rig.set(1, &format!("big/{n}"), &value).is_ok()));
+    (0..12).for_each(|n| rig.writes(1, &format!("big/{n}"), &value));
     rig.kill(3);
     let path = rig.directory(3).join("store.redb");
     let mut file = std::fs::read(&path).expect("a file");
@@ -430,7 +430,7 @@
     rig.logged(3, "the store cannot run: the store's directory:");
     rig.logged(3, said);
     assert_eq!(std::fs::read(&path).expect("a file"), file, "it is left as it is");
-    rig.set(1, "a", "one").expect("the others serve");
+    rig.writes(1, "a", "one");
 }
 
 #[rstest]
@@ -445,7 +445,7 @@
 fn a_backup_is_restored_to_a_cluster_of_its_own() {
     let mut rig = Rig::new(4);
     rig.form(3);
-    (0..20).for_each(|n| assert!(rig.set(1, &format!("k/{n}"), &n.to_string()).is_ok()));
+    (0..20).for_each(|n| rig.writes(1, &format!("k/{n}"), &n.to_string()));
     let file = rig.dir.join("backup.json").display().to_string();
     let (well, printed, problem) = operate(&["store", "backup", &file, "--at", &rig.address(2)]);
     assert!(well && printed.contains("keys as of entry"), "{problem}");
@@ -459,8 +459,8 @@
     // The copy of a whole file counts as a copy; a directory that was restored is a member's own.
     rig.start(4, &[]);
     until("it serves", PATIENCE, || rig.get(4, "k/7") == Ok(Some("7".to_owned())));
-    rig.set(4, "k/7", "changed").expect("it serves");
-    assert_eq!(rig.get(1, "k/7"), Ok(Some("7".to_owned())));
+    rig.writes(4, "k/7", "changed");
+    assert_eq!(rig.reads(1, "k/7"), Some("7".to_owned()));
     let refused = rig.wish(1, Wish::Join(rig.relayed(4))).expect_err("it is a stranger");
     assert!(refused.contains("another cluster"), "{refused}");
     // One that was changed by hand is no backup.
--- a/tests/rig/copied.rs
+++ b/tests/rig/copied.rs
@@ -29,8 +29,8 @@
     Done { key: u64, run: u64 },
     /// A caller was told that its request failed.
     Failed { key: u64 },
-    /// A caller was turned away.
-    Refused { key: u64 },
+    /// A caller was turned away, which asked when so much had been seen.
+    Refused { key: u64, asked: usize },
 }
 
 /// What breaks the promises.
@@ -40,15 +40,19 @@
     SecondRun(u64),
     /// Two callers got results of different runs, or one of no run.
     OtherResult(u64),
+    /// A caller that asked after a run had begun was told that nothing ran.
+    Denied(u64),
 }
 
 /// Judges what was seen. All of it lies within one window.
 pub fn judge(seen: &[Seen]) -> Vec<Broken> {
     let (mut runs, mut done) = (BTreeMap::<u64, u64>::new(), BTreeMap::<u64, u64>::new());
     let mut broken = Vec::new();
-    for event in seen {
+    let mut begins = BTreeMap::<u64, usize>::new();
+    for (at, event) in seen.iter().enumerate() {
         match event {
             Seen::Began { key, run, .. } => {
+                begins.entry(*key).or_insert(at);
                 if runs.insert(*key, *run).is_some() {
                     broken.push(Broken::SecondRun(*key));
                 }
@@ -59,7 +63,12 @@
                     broken.push(Broken::OtherResult(*key));
                 }
             }
-            Seen::Failed { .. } | Seen::Refused { .. } => {}
+            Seen::Refused { key, asked } => {
+                if begins.get(key).is_some_and(|at| at < asked) {
+                    broken.push(Broken::Denied(*key));
+                }
+            }
+            Seen::Failed { .. } => {}
         }
     }
     broken
@@ -75,6 +84,9 @@
 
 struct Request {
     key: u64,
+    /// Whether its caller or another has asked for the key before, and how much had been seen when it did itself.
+    further: bool,
+    asked: usize,
     run: Option<u64>,
     due: u64,
     answered: bool,
@@ -109,6 +121,8 @@
     pub plant: Option<fn(&mut Message)>,
     nodes: Vec<Node>,
     events: BTreeMap<(u64, u64), Event>,
+    /// Keys that were asked for.
+    keys: BTreeSet<u64>,
     turn: u64,
     runs: u64,
     pub rng: SmallRng,
@@ -127,6 +141,7 @@
             plant: None,
             nodes: Vec::new(),
             events: BTreeMap::new(),
+            keys: BTreeSet::new(),
             turn: 0,
             runs: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -219,12 +234,23 @@
 
     /// A caller asks a node to run a key.
     pub fn ask(&mut self, n: usize, key: u64) {
+        self.asks(n, key, Errand::Claim);
+    }
+
+    /// The same where the node has much to do and would turn a repeat away.
+    pub fn ask_busy(&mut self, n: usize, key: u64) {
+        self.asks(n, key, if self.keys.contains(&key) { Errand::Look } else { Errand::Claim });
+    }
+
+    fn asks(&mut self, n: usize, key: u64, errand: fn(Claim) -> Errand) {
         if !self.nodes[n].up {
             return;
         }
         self.turn += 1;
         let (request, due) = (self.turn as u32, self.now + DUE_MS);
-        self.nodes[n].requests.insert(request, Request { key, run: None, due, answered: false });
+        let (further, asked) = (!self.keys.insert(key), self.seen.len());
+        let of = Request { key, further, asked, run: None, due, answered: false };
+        self.nodes[n].requests.insert(request, of);
         let claim = Claim {
             request,
             key: KeyId::of("pay", &key.to_string()),
@@ -234,7 +260,7 @@
             share_ms: DUE_MS as u32 - 50,
         };
         let node = &mut self.nodes[n];
-        let out = node.machine.run(self.now, Errand::Claim(claim), &mut self.rng);
+        let out = node.machine.run(self.now, errand(claim), &mut self.rng);
         self.carry_out(n, out);
     }
 
@@ -309,7 +335,11 @@
                 }
             }
             News::Failed | News::Doubt | News::Taken => answer(asked, Seen::Failed { key }),
-            News::Unreached | News::Full => answer(asked, Seen::Refused { key }),
+            News::Unreached if asked.further => answer(asked, Seen::Failed { key }),
+            News::Unreached | News::Full | News::Nobodys => {
+                let refused = Seen::Refused { key, asked: asked.asked };
+                answer(asked, refused);
+            }
             News::Theirs | News::TooLarge => {}
         }
     }
--- a/tests/rig/copies.rs
+++ b/tests/rig/copies.rs
@@ -1,7 +1,7 @@
 //! Nodes of a fleet that serve: each has a processor's stand-in that writes down every run, and callers write down every
 //! answer. The judge of `copied` reads both and nothing that a node says of itself.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
@@ -28,6 +28,9 @@
 /// Names of tries that no other request has.
 static TRIES: AtomicU64 = AtomicU64::new(1);
 
+/// Keys that were asked for, by the network of the rig whose nodes were.
+static ASKED: Mutex<BTreeSet<(u8, u8, u64)>> = Mutex::new(BTreeSet::new());
+
 /// All that was seen so far.
 pub type History = Arc<Mutex<Vec<Seen>>>;
 
@@ -39,11 +42,13 @@
     pub takes_ms: Arc<AtomicU64>,
     /// How long a caller waits, and how long a node has to stop, in ms; as the settings have it where this is none.
     pub due_ms: Option<u32>,
+    /// Whether it is said that callers mark no further tries.
+    pub unmarked: bool,
     /// Bytes of a result beyond the number of its run.
     pub more_bytes: Arc<AtomicU64>,
-    runs: Arc<AtomicU64>,
+    pub runs: Arc<AtomicU64>,
     /// Where each node's processor is.
-    at: Arc<Mutex<HashMap<usize, SocketAddr>>>,
+    pub at: Arc<Mutex<HashMap<usize, SocketAddr>>>,
 }
 
 /// A processor's way back to its node. Runs end in any order, and what is said of them is numbered in the order in which
@@ -149,11 +154,17 @@
 
 /// The same where callers and nodes have so much time that how fast the machine is decides nothing.
 pub fn serving_patiently(count: usize) -> (Rig, Work) {
-    serving_as(count, "claim_ms = 5000", Work { due_ms: Some(15_000), ..Work::default() })
+    patiently(count, "")
+}
+
+/// The same with more for the operator's table.
+pub fn patiently(count: usize, more: &str) -> (Rig, Work) {
+    serving_as(count, &format!("claim_ms = 5000\n{more}"), Work { due_ms: Some(15_000), ..Work::default() })
 }
 
 fn serving_as(count: usize, more: &str, work: Work) -> (Rig, Work) {
     let mut rig = Rig::new(count);
+    ASKED.lock().expect("a lock").retain(|(high, low, _)| (*high, *low) != rig.net);
     rig.work = Some(work.clone());
     rig.copying(count, more);
     (rig, work)
@@ -213,18 +224,24 @@
 
     /// The same, written down.
     pub fn requests(&self, n: usize, key: u64, seen: &History) -> End {
+        let asked = so_far(seen);
         let end = self.request(n, key);
-        note(seen, key, &end);
+        note(seen, key, asked, &end);
         end
     }
 }
 
-/// Writes an end down.
-pub fn note(seen: &History, key: u64, end: &End) {
+/// How much has been seen.
+pub fn so_far(seen: &History) -> usize {
+    seen.lock().expect("a lock").len()
+}
+
+/// Writes down how a request ended that was made when so much had been seen.
+pub fn note(seen: &History, key: u64, asked: usize, end: &End) {
     let event = match end {
         End::Done(run) => Seen::Done { key, run: *run },
         End::Failed | End::Gone => Seen::Failed { key },
-        End::Refused(_) => Seen::Refused { key },
+        End::Refused(_) => Seen::Refused { key, asked },
     };
     seen.lock().expect("a lock").push(event);
 }
@@ -239,9 +256,16 @@
     let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_secs(1)) else { return End::Gone };
     let Ok(mut front) = FrontEnd::over(stream) else { return End::Gone };
     let tag = TRIES.fetch_add(1, SeqCst);
+    let [_, high, low, _] = match at.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets(),
+        std::net::IpAddr::V6(_) => [0; 4],
+    };
+    // Further tries and second copies are marked.
+    let first = ASKED.lock().expect("a lock").insert((high, low, key));
+    let mark = if first { "" } else { ",resent=1" };
     // Other tests' processes may serve at the same time.
     let req = try_id(tag << 20 | u64::from(std::process::id()) & 0xf_ffff);
-    front.ask(tag, "pay-session", &req, &format!(",opkey=key-{key}"), key.to_string().as_bytes());
+    front.ask(tag, "pay-session", &req, &format!(",opkey=key-{key}{mark}"), key.to_string().as_bytes());
     let began = Instant::now();
     let Some(answer) = front.answer_if_any() else { return End::Gone };
     assert!(began.elapsed() < Duration::from_millis(u64::from(due_ms) + 80 + 200), "an answer came late");
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -11,9 +11,12 @@
 pub mod schedule;
 pub mod sim;
 pub mod target;
+pub mod turns;
 
+use std::collections::BTreeMap;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
@@ -55,10 +58,16 @@
     program: PathBuf,
     net: (u8, u8),
     children: Vec<Option<Child>>,
+    /// Processes that others of the same node follow.
+    before: BTreeMap<usize, Child>,
+    /// Clients' sockets that outlive the processes.
+    held: BTreeMap<usize, TcpListener>,
     /// More for the operator's table of each.
     pub more: String,
     /// The processors of nodes that serve.
     pub work: Option<copies::Work>,
+    /// Given back when all processes are gone.
+    _turn: turns::Turn,
 }
 
 impl Rig {
@@ -69,6 +78,7 @@
 
     /// The same for another build of the program.
     pub fn of(most: usize, program: &Path) -> Self {
+        let turn = turns::Turn::take(most);
         let name = format!("sillflow-rig-{}-{}", std::process::id(), RIGS.fetch_add(1, SeqCst));
         let dir = std::env::temp_dir().join(name);
         fs::create_dir_all(&dir).expect("a folder");
@@ -82,7 +92,18 @@
             })
             .expect("free addresses");
         let children = (0..=most).map(|_| None).collect();
-        Self { relay, dir, program: program.to_owned(), net, children, more: String::new(), work: None }
+        Self {
+            relay,
+            dir,
+            program: program.to_owned(),
+            net,
+            children,
+            before: BTreeMap::new(),
+            held: BTreeMap::new(),
+            more: String::new(),
+            work: None,
+            _turn: turn,
+        }
     }
 
     /// Where a process listens, with nothing between.
@@ -128,6 +149,30 @@
         self.spawn(n, "");
     }
 
+    /// Holds a node's socket for its clients, as a platform does that upgrades it.
+    pub fn hold(&mut self, n: usize) {
+        self.held.insert(n, TcpListener::bind(self.serves(n)).expect("a port"));
+    }
+
+    /// Starts the next process of a node, which waits until the one before is told to go.
+    pub fn follow(&mut self, n: usize) {
+        self.before.extend(self.children[n].take().map(|child| (n, child)));
+        self.spawn(n, "");
+        self.logged(n, "the next process is there");
+    }
+
+    /// Tells the process before to go.
+    pub fn upgrade(&self, n: usize) {
+        let pid = self.before[&n].id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    }
+
+    /// Waits until the process before has ended.
+    pub fn upgraded(&mut self, n: usize) {
+        let mut before = self.before.remove(&n).expect("one was told to go");
+        until("the process before has ended", PATIENCE, || before.try_wait().expect("a child").is_some());
+    }
+
     /// Starts a process that goes by another's name.
     pub fn start_named(&mut self, n: usize, name: &str, operator: &str) {
         fs::write(self.dir.join(format!("operator-{n}.toml")), operator).expect("a file");
@@ -146,6 +191,7 @@
                 file["processor"] = work.processor(n).to_string().into();
                 // Whatever a test does lies within one window.
                 file["settings"]["classes"][2]["repeat-window"] = 60_000.0.into();
+                file["settings"]["clients"]["marks-retry"] = (!work.unmarked).into();
                 if let Some(due_ms) = work.due_ms {
                     file["settings"]["classes"][2]["hard-limit"] = f64::from(due_ms).into();
                     file["stop_ms"] = due_ms.into();
@@ -158,14 +204,22 @@
         let path = self.dir.join(format!("config-{n}.json"));
         fs::write(&path, file.to_string()).expect("a file");
         let log = fs::OpenOptions::new().create(true).append(true).open(self.log_path(n)).expect("a file");
-        let child = Command::new("sh")
-            .args(["-c", &format!("{first} exec \"$0\""), &self.program.display().to_string()])
+        let mut command = Command::new("sh");
+        let program = self.program.display().to_string();
+        match self.held.get(&n) {
+            Some(socket) => {
+                let socket = OwnedFd::from(socket.try_clone().expect("a handle"));
+                command.args(["-c", &format!("{first} exec \"$0\" 4<&0 </dev/null"), &program]);
+                command.stdin(socket).env("PROXY_FD", "4")
+            }
+            None => command.args(["-c", &format!("{first} exec \"$0\""), &program]).stdin(Stdio::null()),
+        };
+        let child = command
             .env("PROXY_CONFIG", path)
             .env("SILLFLOW_OPERATOR", self.dir.join(format!("operator-{n}.toml")))
             .env("TMPDIR", &self.dir)
             .env_remove("PROXY_NAME")
             .env_remove("PROXY_LISTEN")
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
@@ -259,6 +313,16 @@
         }
     }
 
+    /// Waits until a write is acknowledged. What is promised is that one ends in time, not that the first does well: on a
+    /// busy machine a sync takes seconds, and members stand for election. One that was unsure may have been done.
+    pub fn writes(&self, n: usize, key: &str, value: &str) {
+        let began = Instant::now();
+        while let Err(said) = self.set(n, key, value) {
+            assert!(began.elapsed() < PATIENCE, "{key} is not written at {n}: {said}\n{}", self.log(n));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     pub fn get(&self, n: usize, key: &str) -> Result<Option<String>, String> {
         match self.ask(n, Query::Read { prefix: key.to_owned(), local: false })? {
             Answer::Contents { entries, .. } => Ok(entries.get(key).map(|now| now.value.clone())),
@@ -266,6 +330,17 @@
         }
     }
 
+    /// Waits until a read is answered; what it says has to be right the first time.
+    pub fn reads(&self, n: usize, key: &str) -> Option<String> {
+        let mut value = None;
+        until("a read is answered", PATIENCE, || {
+            let read = self.get(n, key);
+            value = read.clone().unwrap_or_default();
+            read.is_ok()
+        });
+        value
+    }
+
     pub fn status(&self, n: usize) -> Option<Status> {
         match self.ask(n, Query::Status) {
             Ok(Answer::Status(status)) => Some(*status),
@@ -324,13 +399,17 @@
         let all: Vec<usize> = (1..=count).collect();
         all.iter().for_each(|n| self.start(*n, &all));
         self.led(&all);
-        all.iter().for_each(|n| assert!(self.set(*n, "formed", "yes").is_ok(), "{}", self.log(*n)));
+        all.iter().for_each(|n| self.writes(*n, "formed", "yes"));
     }
 }
 
 impl Drop for Rig {
     fn drop(&mut self) {
         (1..self.children.len()).for_each(|n| self.kill(n));
+        for child in self.before.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         if std::thread::panicking() {
             eprintln!("what the processes left is in {}", self.dir.display());
         } else {
