--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -183,7 +183,7 @@
 fn another_process_of_the_holder_takes_over_from_it() {
     let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
     let (n, number, by) = holder(&target);
-    rig.upgrade(n, NODES + 2);
+    rig.upgrade_as(n, NODES + 2);
     let (at, next) = target.follows("announce", number);
     let last = target.beats().into_iter().rev().find(|beat| beat.1.by == by).expect("it acted");
     assert!(at - last.0 < LEASE_MS / 2, "{} ms", at - last.0);
