Find a withdrawal that waits by histories with floods behind a queue of changes

The floods changed and withdrew the same routes, and changes of one match are one: nothing stood before the withdrawals. Now 420 routes that only the next sites may have change, and 60 others are withdrawn or get tighter behind them. 20 histories hold, and the planted error is found by them.

--- a/tests/partners_rules.rs
+++ b/tests/partners_rules.rs
@@ -656,6 +656,7 @@
 #[case(Planted::NotDecreased)]
 #[case(Planted::LoopIsTold)]
 #[case(Planted::UnmergedIsMerged)]
+#[case(Planted::WithdrawalWaits)]
 fn a_planted_error_is_found(#[case] error: Planted) {
     plant(Some(error));
     let found = (0..20).any(|seed| {
--- a/tests/rig/partnered.rs
+++ b/tests/rig/partnered.rs
@@ -24,9 +24,11 @@
 const LATE: u64 = 6000;
 /// Changes in one document, in most histories and in those with floods.
 const MOST: usize = 3;
-const MOST_FLOODED: usize = 100;
-/// Routes that a site announces, changes and withdraws at once in a flood.
-const FLOOD: usize = 240;
+const MOST_FLOODED: usize = 30;
+/// Routes of a flood: so many that only the next sites may have change, and wait to be told, before so many others are
+/// withdrawn or get tighter: one in four is for the same requests as another's.
+const QUEUE: usize = 420;
+const FLOOD: usize = 60;
 
 /// What was announced for a server, and from when on; nothing where it was withdrawn.
 pub type Announced = BTreeMap<SocketAddr, (Name, Match, Vec<(u64, Option<Vec<Restriction>>)>)>;
@@ -304,36 +306,38 @@
         self.nodes[n].apply(&[change], self.now);
     }
 
-    /// Hundreds of changes at once: new routes; or others behind which most are withdrawn or get tighter.
+    /// The restrictions that a server was announced under last, if it is.
+    fn written_last(&self, server: &SocketAddr) -> Option<Vec<Restriction>> {
+        self.announced.get(server)?.2.last()?.1.clone()
+    }
+
+    /// Hundreds of changes at once: new routes; or changes behind which others are withdrawn or get tighter.
     fn flood(&mut self, n: usize) {
+        let next_only = [Restriction::Further { sites: 1 }];
         let own: Vec<SocketAddr> = self.nodes[n].own.keys().copied().collect();
+        let (queue, flood): (Vec<SocketAddr>, Vec<SocketAddr>) = own
+            .into_iter()
+            .partition(|server| self.written_last(server).is_some_and(|written| written == next_only));
         let mut changes = Vec::new();
-        if own.len() < FLOOD / 2 {
-            for _ in 0..FLOOD {
-                let server = self.new_server();
-                let written = if self.rng.random_ratio(3, 4) { Vec::new() } else { self.written() };
-                changes.push(self.set(n, server, Some(written)));
-            }
-        } else {
-            let written = |world: &Self, server| {
-                let spans = &world.announced[server].2;
-                spans.last().and_then(|(_, written)| written.clone()).unwrap_or_default()
-            };
-            for server in &own {
-                let written = written(self, server);
-                changes.push(self.set(n, *server, Some(written)));
-            }
-            for server in &own {
-                match self.rng.random_range(0..4) {
-                    0 => {}
-                    1 => {
-                        let mut written = written(self, server);
-                        written.push(Restriction::Nobody {});
-                        changes.push(self.set(n, *server, Some(written)));
-                    }
-                    _ => changes.push(self.set(n, *server, None)),
-                }
-            }
+        for _ in queue.len()..QUEUE {
+            let server = self.new_server();
+            changes.push(self.set(n, server, Some(next_only.to_vec())));
+        }
+        for server in &queue {
+            changes.push(self.set(n, *server, Some(next_only.to_vec())));
+        }
+        for server in &flood {
+            let tighter = self.rng.random_ratio(1, 4).then(|| {
+                let mut written = self.written_last(server).unwrap_or_default();
+                written.push(Restriction::Nobody {});
+                written
+            });
+            changes.push(self.set(n, *server, tighter));
+        }
+        for _ in flood.len()..FLOOD {
+            let server = self.new_server();
+            let written = if self.rng.random_ratio(3, 4) { Vec::new() } else { self.written() };
+            changes.push(self.set(n, server, Some(written)));
         }
         self.nodes[n].apply(&changes, self.now);
     }
