--- a/benches/duties/main.rs
+++ b/benches/duties/main.rs
@@ -15,7 +15,7 @@
 
 use report::Report;
 use rig::duties::{Broken, Plant, World, history, judge};
-use rig::target::{LEASE_MS, node_of};
+use rig::target::LEASE_MS;
 use rig::{PATIENCE, Rig, until};
 
 const NODES: usize = 5;
