Make a safe call again where its reply does not come for far longer than usual

Cause: such a call held its place of the call limit until 80 ms before its request's aim (back/records, make). Change: a safe call without a reply after the mean and eight mean deviations of those answered (Jacobson 1988; at least 50 ms, doubled while none is answered) is made once more on a new connection, which gives up the first. One in five calls at the most. Calls with effects are as before, and so are calls to servers that the operator names.

--- a/src/back/records/mod.rs
+++ b/src/back/records/mod.rs
@@ -3,10 +3,12 @@
 //! one of those.
 
 mod http;
+mod usual;
 
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,13 +20,14 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use self::http::{Reply, exchange};
+use self::http::{Bad, Reply, exchange};
+use self::usual::Usual;
 use crate::config::Peers;
 use crate::exchange::{Call, Handle, Input};
 use crate::interface::Outcome;
 use crate::knowledge::Run;
 use crate::peers::{Leg, Routes};
-use crate::route::{Kind, ServerId};
+use crate::route::{Kind, RetryBudget, ServerId};
 
 /// An idle connection is closed after this: sooner than the other side does it, so that no call meets the end.
 const IDLE: Duration = Duration::from_secs(8);
@@ -40,6 +43,9 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// A call goes to another server only while it has this much time left.
 const WORTH_TRYING: Duration = Duration::from_millis(20);
+/// Calls whose reply has not come are made again for this share of all calls at the most: a service that is slow, and
+/// has lost nothing, gets hardly more of them.
+const REPEATS: f64 = 0.2;
 /// The work of a call whose request gives no hint, in the same measure.
 const USUAL_WORK: f64 = 100.0;
 
@@ -84,11 +90,28 @@
 struct Timed {
     call: Call,
     since: Instant,
+    /// When it was sent last, and whether that was the second time.
+    sent: Instant,
+    repeated: bool,
     leg: Option<Leg>,
     tried: Vec<ServerId>,
 }
 
+/// What an attempt to have a reply came to.
+enum Heard {
+    Reply(Result<Reply, Bad>),
+    /// Nothing by the time that its request allows.
+    Nothing,
+    /// Nothing for far longer than usual, and it may be made again.
+    Lost,
+}
+
 impl Timed {
+    fn new(call: Call) -> Self {
+        let now = Instant::now();
+        Self { call, since: now, sent: now, repeated: false, leg: None, tried: Vec::new() }
+    }
+
     fn due(&self) -> Instant {
         self.since + Duration::from_secs_f64(self.call.wait_ms / 1000.0)
     }
@@ -125,6 +148,8 @@
     exchange: Handle,
     idle: Rc<RefCell<Vec<Idle>>>,
     room: Arc<Semaphore>,
+    usual: Rc<RefCell<Usual>>,
+    repeats: Rc<RefCell<RetryBudget>>,
 }
 
 impl Records {
@@ -136,13 +161,23 @@
         most: usize,
     ) -> Self {
         let kept = if routes.is_some() { most / KEPT_SHARE } else { KEPT };
-        Self { peers, routes, kept, exchange, idle: Rc::default(), room: Arc::new(Semaphore::new(most)) }
+        Self {
+            peers,
+            routes,
+            kept,
+            exchange,
+            idle: Rc::default(),
+            room: Arc::new(Semaphore::new(most)),
+            usual: Rc::default(),
+            repeats: Rc::new(RefCell::new(RetryBudget::new(REPEATS))),
+        }
     }
 
     /// Makes the calls that come.
     pub async fn serve(self, mut calls: mpsc::UnboundedReceiver<Call>) {
         while let Some(call) = calls.recv().await {
-            self.place(Timed { call, since: Instant::now(), leg: None, tried: Vec::new() });
+            self.repeats.borrow_mut().called();
+            self.place(Timed::new(call));
         }
     }
 
@@ -290,26 +325,66 @@
         if let Some(leg) = &mut call.leg {
             leg.sent();
         }
-        let made = tokio::select! {
-            made = timeout_at(call.due() + GRACE, exchange(stream, &request)) => made,
+        call.sent = Instant::now();
+        let (due, patience) = (call.due() + GRACE, self.patience(&call));
+        let heard = tokio::select! {
+            heard = self.hear(exchange(stream, &request), due, patience) => heard,
             _ = &mut call.call.given_up => return false,
         };
-        let (attempt, after) = match made {
-            Ok(Ok(reply)) => {
+        let (attempt, after) = match heard {
+            Heard::Lost => {
+                debug!("the call for {} is made again, as its reply has not come", call.call.of);
+                // The second one gives up the first, wherever that stands.
+                call.repeated = true;
+                self.clone().again(call);
+                return false;
+            }
+            Heard::Reply(Ok(reply)) => {
                 let outcome = outcome(&reply);
+                // To be turned away takes no time, whatever a call takes.
+                if outcome == Outcome::Ok {
+                    self.usual.borrow_mut().answered(call.sent.elapsed());
+                }
                 let Reply { body, run, reusable, .. } = reply;
                 (Attempt { outcome, kind: kind(outcome), run, reply: body }, reusable)
             }
-            Ok(Err(problem)) => {
+            Heard::Reply(Err(problem)) => {
                 debug!("a call broke off: {problem}");
                 (Attempt::of(Outcome::Reset), false)
             }
-            Err(_) => (Attempt::of(Outcome::Timeout), false),
+            Heard::Nothing => (Attempt::of(Outcome::Timeout), false),
         };
         self.ended(call, attempt).await;
         after
     }
 
+    /// How long to wait for the reply to a call that may be made again. What several servers lose is their pool's concern.
+    fn patience(&self, call: &Timed) -> Option<Duration> {
+        let may = call.call.safe && !call.repeated && self.routes.is_none();
+        let patience = self.usual.borrow().patience().filter(|_| may)?;
+        // A second call needs its time as well.
+        (call.sent + patience + WORTH_TRYING < call.due()).then_some(patience)
+    }
+
+    async fn hear(
+        &self,
+        reply: impl Future<Output = Result<Reply, Bad>>,
+        due: Instant,
+        patience: Option<Duration>,
+    ) -> Heard {
+        let mut reply = pin!(reply);
+        if let Some(patience) = patience {
+            if let Ok(reply) = timeout(patience, &mut reply).await {
+                return Heard::Reply(reply);
+            }
+            self.usual.borrow_mut().lost();
+            if self.repeats.borrow_mut().take() {
+                return Heard::Lost;
+            }
+        }
+        timeout_at(due, reply).await.map_or(Heard::Nothing, Heard::Reply)
+    }
+
     /// Takes the end of an attempt. A call that is proven never to have begun goes to another server while it has
     /// time and the pool has attempts to spare; any other end is the call's.
     async fn ended(&self, mut call: Timed, attempt: Attempt) {
@@ -325,7 +400,9 @@
     }
 
     async fn tell(&self, call: &Timed, outcome: Outcome, reply: Bytes) {
-        let took_ms = call.since.elapsed().as_secs_f64() * 1000.0;
+        // Of a call that was made twice the second time: how fast the other side is, not how much is lost on the way.
+        let sent = if call.repeated { call.sent } else { call.since };
+        let took_ms = sent.elapsed().as_secs_f64() * 1000.0;
         let Call { id, serial, .. } = call.call;
         self.exchange.tell(Input::CallEnded { id, serial, outcome, took_ms, reply }).await;
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::sync::atomic::Ordering::SeqCst;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::json;
@@ -257,6 +257,43 @@
     }
 }
 
+#[rstest]
+fn a_call_whose_reply_never_comes_is_made_again_once_and_only_where_it_is_safe(
+    #[values("history", "pay-session")] class: &str,
+) {
+    let mut settings = settings();
+    settings["classes"][0]["aim"] = json!(4000.0);
+    settings["classes"][0]["hard-limit"] = json!(8000.0);
+    let mut node = Node::start_with(settings);
+    let mut front = FrontEnd::connect(&node.resp);
+    // Eight calls tell how long one takes.
+    for tag in 1..=8 {
+        let req = run(&mut node, &mut front, tag, "history", "");
+        node.processor.ask(&req, b"call");
+        drop(node.records.call().reply("200 OK", "Connection: close\r\n", b""));
+        node.processor.command("answer");
+        node.processor.complete(&req, b"listed");
+        assert_eq!(front.answer().word, "done");
+    }
+    let req = run(&mut node, &mut front, 9, class, ",opkey=k");
+    let asked = Instant::now();
+    node.processor.ask(&req, b"call");
+    let mut silent = node.records.call();
+    if class == "history" {
+        assert!(silent.given_up(), "one call of a request is out at a time");
+        let second = node.records.call();
+        assert!(second.head.contains(&format!("Op-Of: {req}")) && second.body == b"call");
+        assert!(asked.elapsed() < Duration::from_millis(3500), "long before the request is late");
+        // This one is silent as well: the request goes on without its call.
+        node.processor.command("without");
+        node.processor.complete(&req, b"without");
+        assert_eq!(front.answer().body, b"without");
+    } else {
+        assert_eq!(front.answer().word, "error", "it may have run");
+    }
+    assert!(!node.records.is_connected(), "no further one");
+}
+
 #[rstest]
 fn a_call_with_effects_never_meets_a_connection_that_was_idle() {
     let (mut node, mut front) = started();
