Look up routes without reading those that serve any tenant at any time

A hit read each route only to learn that nothing limits its use. A list and a tree now know it of their routes.

--- a/src/partners/lookup.rs
+++ b/src/partners/lookup.rs
@@ -187,7 +187,7 @@
     let is_other = |entry: &&Entry| entry.net != net || entry.ranged.subjects != subjects;
     let mut all: Vec<Entry> = entries.iter().filter(is_other).cloned().collect();
     if let Some(held) = held {
-        let entry = Entry { net, ranged: Ranged { subjects, held } };
+        let entry = Entry { net, ranged: Ranged::new(subjects, held) };
         let at = all.partition_point(|other| other.rank() < entry.rank());
         all.insert(at, entry);
     }
@@ -330,8 +330,9 @@
             .chain([&self.any])
             .flat_map(pairs)
             .flat_map(move |pair| pair.found(request.address, request.subject))
-            .flat_map(|ranged| ranged.held.iter())
-            .filter(move |held| held.route.restrictions.serves(request.tenant, now))
+            .flat_map(|ranged| ranged.held.iter().map(|held| (ranged.always, held)))
+            .filter(move |(always, held)| *always || held.route.restrictions.serves(request.tenant, now))
+            .map(|(_, held)| held)
     }
 }
 
--- a/src/partners/ranges.rs
+++ b/src/partners/ranges.rs
@@ -14,9 +14,16 @@
 pub(super) struct Ranged {
     pub(super) subjects: Subjects,
     pub(super) held: Arc<[Held]>,
+    /// None of them is for some tenants or for some time alone: a look-up need not read them to know.
+    pub(super) always: bool,
 }
 
 impl Ranged {
+    pub(super) fn new(subjects: Subjects, held: Arc<[Held]>) -> Self {
+        let always = held.iter().all(|held| held.route.restrictions.always_serves());
+        Self { subjects, held, always }
+    }
+
     /// Narrower ranges are chosen first.
     pub(super) fn rank(&self) -> (u64, u64) {
         let Subjects { first, last } = self.subjects;
@@ -84,9 +91,9 @@
             Self::Leaf(entries) => {
                 let mut all = entries.to_vec();
                 match (all.binary_search_by_key(&subjects, |entry| entry.subjects), held) {
-                    (Ok(at), Some(held)) => all[at].held = held,
+                    (Ok(at), Some(held)) => all[at] = Ranged::new(subjects, held),
                     (Ok(at), None) => drop(all.remove(at)),
-                    (Err(at), Some(held)) => all.insert(at, Ranged { subjects, held }),
+                    (Err(at), Some(held)) => all.insert(at, Ranged::new(subjects, held)),
                     (Err(_), None) => {}
                 }
                 split(all, Node::Leaf).collect()
--- a/src/partners/restrict.rs
+++ b/src/partners/restrict.rs
@@ -225,6 +225,11 @@
         self.until.is_some_and(|end| end <= now)
     }
 
+    /// Whether it may be used for every tenant, at any time.
+    pub fn always_serves(&self) -> bool {
+        self.tenants.is_none() && self.until.is_none()
+    }
+
     /// Whether it may be used for a tenant now, in ms since 1970 (UTC).
     #[inline]
     pub fn serves(&self, tenant: Option<&str>, now: u64) -> bool {
