--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -77,7 +77,7 @@
             tokio::select! {
                 asked = asks.recv() => match asked {
                     Some(back) => drop(back.send(self.noted())),
-                    None => return,
+                    None => break,
                 },
                 Ok(()) = shares.changed() => {
                     let shares = shares.borrow_and_update().clone();
@@ -85,6 +85,9 @@
                 }
             }
         }
+        // Whoever had the list is gone: each node acts by its own measure.
+        self.follow(Shares::new());
+        self.votes.replace(None);
     }
 
     fn noted(&self) -> Noted {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -315,7 +315,10 @@
         }
         let id = trial[rng.random_range(..trial.len())];
         let free = |server: &Server| match (server.share, server.standing) {
-            (Share::Trial, _) => server.in_hand == 0 && safe,
+            (Share::Trial, _) => {
+                let waits = || server.measured().is_none_or(|measured| now - measured >= TRIAL_WAITS_MS);
+                server.in_hand == 0 && (safe || waits())
+            }
             (_, Standing::Trial { since, .. }) => {
                 server.in_hand == 0 && (safe || now - since >= TRIAL_WAITS_MS)
             }
--- a/src/verdict/voter.rs
+++ b/src/verdict/voter.rs
@@ -5,11 +5,13 @@
 
 use log::{debug, info, warn};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
+use super::evidence::Evidence;
 use super::part::{Noted, Seat};
-use super::wire::{Answer, MOST_TRIALS, Said, What, say};
+use super::wire::{Answer, Holder, MOST_TRIALS, Said, What, say};
 
 /// How far from its period a node sends, so that not all do at once.
 const JITTER: std::ops::Range<f64> = 0.9..1.1;
@@ -37,7 +39,10 @@
 /// Sends what there is; returns what was not counted, to be sent again. A message that came twice counts once: it has its
 /// number still.
 async fn send(seat: &Seat, pending: Option<Pending>) -> Option<Pending> {
-    let Some(holder) = seat.holder() else { return pending };
+    let Some(holder) = seat.holder() else {
+        look_around(seat).await;
+        return pending;
+    };
     let Some(node) = seat.node(&holder.name) else { return pending };
     let pending = match pending {
         Some(pending) => again(pending, seat.now()),
@@ -75,6 +80,26 @@
     }
 }
 
+/// A node that has begun asks another one, drawn at random, who counts: it is not to wait until it is missed. Evidence
+/// with nothing in it, numbered below any, counts for nothing.
+async fn look_around(seat: &Seat) {
+    let others = seat.names().into_iter().filter(|name| *name != seat.options.name);
+    let Some(node) = others.choose(&mut rand::rng()).and_then(|name| seat.node(&name)) else { return };
+    let what = What::Evidence { evidence: Evidence::default(), trials: Vec::new(), have: seat.have() };
+    let said = Said { from: seat.options.name.clone(), life: seat.life, what };
+    match say(seat.address_of(&node), seat.from(), &said).await {
+        Ok(Answer::Elsewhere(Some(holder))) => drop(seat.hear_of(holder)),
+        Ok(Answer::Counted { list: Some(list), .. }) => {
+            let holder = Holder { fence: list.number.fence, name: node.applicant.name };
+            if seat.hear_of(holder).is_ok() {
+                seat.accept(&list);
+            }
+        }
+        Ok(_) => {}
+        Err(problem) => debug!("verdicts: {} is not reached: {problem}", node.applicant.name),
+    }
+}
+
 /// What is sent again is older.
 fn again(mut pending: Pending, now: f64) -> Pending {
     pending.noted.evidence.age(now - pending.taken);
--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -7,13 +7,16 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use sillflow::config::Operator;
+use sillflow::route::{self, Ended, Options, Pool, Spec};
 use sillflow::verdict::cap::{Decision, Gone, Limits, Member, Reason, Word, decide};
 use sillflow::verdict::count::{Findings, Kind, Outlier, Planted, Rules, Scope, judge, least_voters};
 use sillflow::verdict::evidence::{
     Book, Call, Counts, Evidence, EvidenceError, Item, Life, MOST_BYTES, MOST_ITEMS, Recorder, SLOT_MS, Voter,
 };
 use sillflow::verdict::keeper::{CALM_MS, Keeper, OUT_MS, TRIAL_MS, Trial, out_ms};
-use sillflow::verdict::list::{Guard, KEEP_MS, List, ListError, Number, Share, Stage};
+use sillflow::verdict::kept::{KeepError, KeptGuard};
+use sillflow::verdict::list::{Guard, KEEP_MS, List, ListError, Listed, Number, Share, Stage, Why};
 use sillflow::verdict::sequential::{Wealth, bet, contribution, pooled, recovered};
 
 const ZONES: usize = 3;
@@ -733,3 +736,113 @@
         }
     }
 }
+
+#[rstest]
+fn the_number_of_a_list_outlives_the_process_and_no_list_is_applied_without_it() {
+    let directory = std::env::temp_dir().join(format!("sillflow-kept-{}", std::process::id()));
+    let path = directory.join("verdicts.json");
+    let list = |sequence| List { number: Number { fence: 3, sequence }, entries: Vec::new() };
+    let mut guard = KeptGuard::open(Some(path.clone())).expect("no file is a new one");
+    assert!(guard.accept(0.0, &list(7)).expect("the latest"));
+    let mut again = KeptGuard::open(Some(path.clone())).expect("the file");
+    assert!(again.guard().in_force(0.0).is_none(), "the list itself is asked for again");
+    assert!(matches!(again.accept(1.0, &list(6)), Err(KeepError::List(ListError::Older { .. }))));
+    assert!(again.accept(1.0, &list(7)).expect("the same"));
+    // Where a directory stands in the way nothing can be written.
+    std::fs::remove_file(&path).expect("a file");
+    std::fs::create_dir_all(path.join("in-the-way")).expect("a folder");
+    assert!(matches!(again.accept(2.0, &list(8)), Err(KeepError::Io(_))));
+    assert_eq!(again.guard().seen(), list(7).number);
+    std::fs::remove_dir_all(&directory).expect("a folder");
+    std::fs::create_dir_all(&directory).expect("a folder");
+    std::fs::write(&path, "no number").expect("a file");
+    assert!(KeptGuard::open(Some(path)).is_err());
+    let _ = std::fs::remove_dir_all(directory);
+}
+
+#[rstest]
+fn each_server_gets_the_least_of_what_its_lines_give() {
+    let line = |scope, stage| Listed {
+        server: at(0),
+        scope,
+        stage,
+        times: 2,
+        why: Why::Votes(outlier(0, 30.0)),
+        word: None,
+    };
+    let entries = vec![
+        line(Scope::Everywhere, Stage::Step(30)),
+        line(Scope::Zone("z1".to_owned()), Stage::Trial(vec!["n1".to_owned()])),
+    ];
+    let mut guard = Guard::default();
+    guard.accept(0.0, &List { number: Number { fence: 1, sequence: 1 }, entries }).expect("a list");
+    let given = |node: &str, zone: &str| guard.shares(0.0, node, zone)[&at(0)];
+    assert_eq!(given("n1", "z1").share, Share::Trial);
+    assert_eq!(given("n2", "z1").share, Share::Part(0.0));
+    assert_eq!(given("n1", "z2").share, Share::Part(0.3));
+    assert_eq!(given("n1", "z2").share, guard.share(0.0, at(0), "n1", "z2"));
+    assert_eq!(given("n1", "z1").times, 2);
+    assert!(guard.shares(KEEP_MS + 1.0, "n1", "z1").is_empty(), "by its own measure");
+}
+
+#[rstest]
+#[case("[verdicts]\n", &["needs the table records", "needs the table fleet", "needs the table duties"])]
+#[case("[verdicts]\nport = 0\nduty = \"\"\nliars = 65\n", &["verdicts.port", "verdicts.duty", "verdicts.liars"])]
+#[case("[verdicts]\nlimits = { most_out = 1.5 }\n", &["verdicts.limits.most_out"])]
+#[case("[verdicts]\nalways_in = [\"127.0.0.1:1\"]\nout_now = [\"127.0.0.1:1\"]\n", &["verdicts.out_now[0]"])]
+#[case("[verdicts]\nports = 1\n", &["unknown field `ports`"])]
+fn what_an_operator_cannot_mean_is_named(#[case] file: &str, #[case] named: &[&str]) {
+    let faults: Vec<String> = Operator::check(file).iter().map(ToString::to_string).collect();
+    for part in named {
+        assert!(faults.iter().any(|fault| fault.contains(part)), "no '{part}' in {faults:?}");
+    }
+}
+
+/// So many calls of a pool of four, 20 ms apart, all of which go well; how many went to each server.
+fn went(pool: &mut Pool, calls: usize, safe: bool) -> [usize; 4] {
+    let mut rng = SmallRng::seed_from_u64(27);
+    let mut went = [0; 4];
+    for call in 0..calls {
+        let now = 20.0 * call as f64;
+        let choice = pool.choose(now, 1.0, safe, &[], &mut rng).expect("room");
+        went[usize::from(choice.address.port() - 9000)] += 1;
+        pool.ended(now + 10.0, &choice, &Ended { kind: route::Kind::Served, took_ms: 10.0, run: None });
+    }
+    went
+}
+
+fn pool(shares: &[(usize, Share)]) -> Pool {
+    let specs: Vec<Spec> =
+        (0..4).map(|n| Spec { address: at(n), zone: String::new(), weight: 1.0 }).collect();
+    let mut pool = Pool::new(0.0, Options::default(), &specs);
+    pool.follow(0.0, shares.iter().map(|(server, share)| (at(*server), *share)).collect());
+    pool
+}
+
+#[rstest]
+fn a_pool_gives_each_server_what_the_fleet_gives_it() {
+    let usual = went(&mut pool(&[]), 4000, true);
+    assert!(usual.iter().all(|went| *went > 500), "{usual:?}");
+    let out = went(&mut pool(&[(0, Share::Part(0.0))]), 4000, true);
+    assert_eq!(out[0], 0);
+    let part = went(&mut pool(&[(0, Share::Part(0.3))]), 4000, true);
+    assert!(part[0] > usual[0] / 10 && part[0] < usual[0] * 2 / 3, "{part:?} beside {usual:?}");
+    let trial = went(&mut pool(&[(0, Share::Trial)]), 4000, true);
+    assert!(trial[0] > 100 && trial[0] < 700, "{trial:?}");
+    // Calls that may not be made twice try it only where nothing else does for long.
+    let rare = went(&mut pool(&[(0, Share::Trial)]), 4000, false);
+    assert!((1..=8).contains(&rare[0]), "{rare:?}");
+}
+
+#[rstest]
+fn the_last_servers_of_a_pool_stay_and_a_removed_one_is_no_last_resort() {
+    let all: Vec<(usize, Share)> = (0..4).map(|server| (server, Share::Part(0.0))).collect();
+    assert!(went(&mut pool(&all), 400, true).iter().all(|went| *went > 0), "all are out, so none is");
+    let mut pool = pool(&all[..3]);
+    let mut rng = SmallRng::seed_from_u64(27);
+    let most = Options::default().most_in_hand as usize;
+    for _ in 0..most {
+        assert_eq!(pool.choose(0.0, 1.0, true, &[], &mut rng).expect("room").address, at(3));
+    }
+    assert!(pool.choose(0.0, 1.0, true, &[], &mut rng).is_err());
+}
