Judge optional calls and advice by tenants' shares, and try mandatory calls through an outage

Change: the toss for optional calls goes by the part within the share over its mean, so that the mean stays Q; the advice to stay away follows the hold by that part, and lag of reading in full. A mandatory call that never ran is tried on with waits doubling from 40 to 640 ms until its request is due; it failed after three tries within milliseconds, though its caller waited for seconds.

--- a/tests/control.rs
+++ b/tests/control.rs
@@ -637,3 +637,94 @@
     };
     assert!(admitted(900.0) < admitted(140.0), "no run of the second class has ended yet");
 }
+
+/// Calls left out of two tenants that send alike, at a dimmer of about a half: the first sends twenty times
+/// its share, the second is within its own.
+fn left_out(over_share_worth: f64) -> [usize; 2] {
+    let tenants = vec![Tenant { quota_per_s: 0.08 }, Tenant { quota_per_s: 4000.0 }];
+    let set = Settings { tenants, over_share_worth, below: Below::Tier, memory_kb: 0.0, ..settings() };
+    let mut script = Script::new(set);
+    let mut counts = [0, 0];
+    for id in 1..500 {
+        let tenant = (id % 2) as usize;
+        let mut out = script
+            .after(1.0, &[Event::Request(sillflow::interface::Request { tenant, ..request(id, SAFE) })]);
+        out.extend(script.after(1.0, &[Event::Needs(RequestId(id))]));
+        // Late answers dim; answers that take all of their aim leave the dimmer where it is.
+        let took = if script.controller.dimmer() > 0.55 { 2000.0 } else { 999.0 };
+        out.extend(script.idle(200.0, 1.7));
+        let ended = Event::Called { id: RequestId(id), outcome: Outcome::Ok, took_ms: 200.0 };
+        out.extend(script.after(0.0, &[ended]));
+        script.done(took - 200.0, id);
+        counts[tenant] += usize::from(out.contains(&Action::Skip(RequestId(id))));
+    }
+    counts
+}
+
+#[test]
+fn calls_are_left_out_beyond_a_share_before_they_are_within_one() {
+    let [beyond, within] = left_out(0.05);
+    assert!(beyond > 150 && within < beyond / 2, "left out: {within} within, {beyond} beyond");
+    let [beyond, within] = left_out(1.0);
+    assert!(
+        within > 50 && within.abs_diff(beyond) < 50,
+        "alike in worth, alike in chance: {within} {beyond}"
+    );
+}
+
+#[test]
+fn what_is_refused_beyond_a_share_keeps_its_caller_away_for_a_short_time_only() {
+    let advice = |quota_per_s: f64| {
+        let tenants = vec![Tenant { quota_per_s }];
+        let set = Settings { tenants, over_share_worth: 0.05, memory_kb: 0.0, ..settings() };
+        let mut script = Script::new(set);
+        let (mut sum, mut count) = (0.0, 0);
+        for id in 1..200 {
+            for action in script.submit(id, PLAIN) {
+                if let Action::Refuse { stay_away_ms, .. } = action {
+                    (sum, count) = (sum + stay_away_ms, count + 1);
+                }
+            }
+        }
+        assert!(count > 50, "{count}");
+        sum / f64::from(count)
+    };
+    let (within, beyond) = (advice(4000.0), advice(4.0));
+    assert!(within > 100.0, "the hold is full, and whoever comes should wait: {within}");
+    assert!(beyond < within / 4.0, "the caller serves other tenants too: {beyond} of {within}");
+}
+
+/// Turns every call of `id` away for `down_ms`, then lets calls pass: the tries made, and whether one passed.
+fn through_an_outage(class: usize, outcome: Outcome, down_ms: f64) -> (usize, bool) {
+    let mut script = Script::new(settings());
+    script.submit(1, class);
+    let up_at = script.now + down_ms;
+    let mut out = script.after(10.0, &[Event::Needs(RequestId(1))]);
+    let mut tries = 0;
+    while !failed(&out, 1) && !out.contains(&Action::Skip(RequestId(1))) {
+        if calls(&out) == 0 {
+            out = script.idle(20.0, 0.5);
+            continue;
+        }
+        tries += 1;
+        if script.now >= up_at {
+            return (tries, true);
+        }
+        out = script.after(2.0, &[Event::Called { id: RequestId(1), outcome, took_ms: 2.0 }]);
+    }
+    (tries, false)
+}
+
+#[test]
+fn a_mandatory_call_that_never_ran_is_tried_until_what_is_below_is_up_again() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let (tries, passed) = through_an_outage(KEYED, outcome, 1000.0);
+        assert!(passed && (5..12).contains(&tries), "{outcome:?}: {tries} tries in a second");
+        let (tries, passed) = through_an_outage(KEYED, outcome, 60_000.0);
+        assert!(!passed && tries < 16, "{outcome:?}: {tries} tries until it is due");
+        assert_eq!(through_an_outage(SAFE, outcome, 1000.0), (3, false), "one that may be left out is");
+    }
+    assert_eq!(through_an_outage(KEYED, Outcome::Moot, 1000.0), (3, false), "nobody waits for it below");
+    assert_eq!(through_an_outage(KEYED, Outcome::Timeout, 1000.0), (1, false), "it may have run");
+    assert_eq!(through_an_outage(KEYED, Outcome::Error, 1000.0), (1, false), "it may have run");
+}
