--- a/src/logic.rs
+++ b/src/logic.rs
@@ -801,11 +801,10 @@
     }
 
     /// Turns away what never ran. The advice follows the lag and the share refused, spread so that callers do
-    /// not return together; for the hold only by the part within the tenant's share, as a caller that stays
-    /// away keeps all tenants away. While further tries abound nobody is to walk on: each reading costs work.
+    /// not return together. While further tries abound nobody is to walk on, as each reading costs work.
     fn refuse(&mut self, id: u32, out: &mut Vec<Action>) {
-        let hold = self.wait_ms(i64::MAX, 0.0) * self.table.get(&id).map_or(1.0, |entry| entry.within);
-        let lag = (hold + ADVICE_UNREAD * self.unread_ms()).min(self.set.max_retry_after_ms);
+        let lag =
+            (self.wait_ms(i64::MAX, 0.0) + ADVICE_UNREAD * self.unread_ms()).min(self.set.max_retry_after_ms);
         let refused = self.refused.faded(self.now, &ARRIVALS_SPAN);
         let stay_away_ms = lag * (ADVICE_SHARE * refused).min(1.0) * (1.0 - ADVICE_SPREAD * self.rng.f64());
         let crowded = refused > WALK_REFUSED && !self.set.marks_further;
