--- a/tests/rig/verdicts.rs
+++ b/tests/rig/verdicts.rs
@@ -554,7 +554,7 @@
     /// part, so that a stand-in can vote as it. It is returned when every node follows a list.
     pub fn voting(count: usize, site: &mut Site) -> Self {
         let mut rig = Self::new(count + 1);
-        let mut work = Work { due_ms: Some(1500), ..Work::default() };
+        let work = Work { due_ms: Some(1500), ..Work::default() };
         (1..=count + 1).for_each(|n| work.put(n, processor(n)));
         rig.work = Some(work);
         for n in 1..=count {
