--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -161,6 +161,7 @@
         verdicts,
         keeps,
         leaving: None,
+        confirmed: false,
         name,
         applicant,
         wishes,
@@ -426,6 +427,8 @@
     keeps: watch::Sender<Kept>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
+    /// Whether the store has said to this process that its life belongs: what was kept on disk may be older.
+    confirmed: bool,
 }
 
 impl Daemon {
@@ -486,6 +489,7 @@
                 },
                 Some(Heard { lacking, age_ms }) = inputs.hears.recv() => {
                     let out = self.turn_to(lacking);
+                    self.confirmed |= self.incarnation.is_some();
                     self.send_copies(socket, out).await;
                     if let Some(age_ms) = age_ms {
                         self.liveness.level(self.now(), age_ms);
@@ -730,22 +734,23 @@
                 self.trouble = None;
                 self.wishes.send_replace(None);
             }
-            (Some(before), None) if self.view.was_lost(&self.name, before) == Some(false) => {
+            (Some(before), None) if self.has_left(before) && self.confirmed => {
                 info!("{} has left the fleet, by view {number}", self.name);
                 self.leaving = Some(before);
                 self.trouble = Some("it has left; it asks to belong again at its next start".to_owned());
             }
-            (_, None) => {
+            (before, None) => {
                 // What this life held is given up by the others: whatever comes next is another one.
                 self.applicant.birth = rng().random();
                 if let Some(copying) = &mut self.copying {
                     copying.renew(self.applicant.birth);
                 }
-                warn!(
-                    "{} was declared lost, by view {number}; it begins a new life, {:016x}",
-                    self.name, self.applicant.birth
-                );
-                self.trouble = Some("it was declared lost, and asks to belong anew".to_owned());
+                // One that left just before its process ended may have kept an older view. Its start asks to belong.
+                let left = before.is_some_and(|life| self.has_left(life));
+                let went = if left { "had left before its start" } else { "was declared lost" };
+                let (name, birth) = (&self.name, self.applicant.birth);
+                warn!("{name} {went}, by view {number}; it begins a new life, {birth:016x}");
+                self.trouble = Some(format!("it {went}, and asks to belong anew"));
                 self.wishes.send_replace(Some(self.applicant.clone()));
             }
         }
@@ -753,6 +758,11 @@
         self.incarnation = own;
     }
 
+    /// Whether a life of this node has left in order.
+    fn has_left(&self, life: u64) -> bool {
+        self.view.was_lost(&self.name, life) == Some(false)
+    }
+
     fn joined(&mut self, said: Joined) {
         match said {
             Ok(incarnation) if self.incarnation != Some(incarnation) => self.bell.notify_one(),
