Wait for the addresses of the process before once each, and bound the sites that rest

Found on reading the change: two parts had each mended that an upgraded process finds the fleet's address taken. Where it is bound is the place, so the start waits for the store's alone, and the fleet's part for its own, files after sockets. The table of sites' standings passed its bound where all of them rested.

--- a/src/back/records/sites.rs
+++ b/src/back/records/sites.rs
@@ -248,6 +248,10 @@
             if standings.len() >= MOST_SITES {
                 standings.retain(|_, standing| !standing.allows(false, now));
             }
+            // All of them rest: this one is not kept beside them.
+            if standings.len() >= MOST_SITES {
+                return;
+            }
             standings.insert(site.clone(), Standing::default());
         }
         let Some(standing) = standings.get_mut(site) else { return };
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -207,6 +207,7 @@
 /// that one needs to end.
 async fn take_place(listen: SocketAddr, follows: bool) -> io::Result<(UdpSocket, TcpListener)> {
     let last = Instant::now() + if follows { ENDS_WITHIN } else { Duration::ZERO };
+    let mut waited = false;
     loop {
         let taken = async {
             let socket = UdpSocket::bind(listen).await?;
@@ -215,9 +216,16 @@
         };
         match taken.await {
             Err(problem) if problem.kind() == io::ErrorKind::AddrInUse && Instant::now() < last => {
+                waited = true;
                 sleep(ENDS_LOOK).await;
             }
-            taken => return taken,
+            taken => {
+                // Its files go after its sockets.
+                if waited {
+                    sleep(ENDS_LOOK).await;
+                }
+                return taken;
+            }
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -44,7 +44,7 @@
 /// How long after its stop a node that was not stopped and whose connections are not given back ends by itself.
 /// Until then it answers what may still be written to it.
 const LAST: Duration = Duration::from_secs(1);
-/// How often it is looked whether the process before has let go of its addresses.
+/// How often it is looked whether the process before has let go of its address.
 const FREE_AGAIN: Duration = Duration::from_millis(20);
 /// How long before its stop a node waits no longer for its copies to be handed on.
 const HAND_ON_MARGIN: Duration = Duration::from_millis(250);
@@ -355,18 +355,16 @@
     (alone, turn)
 }
 
-/// Waits until the process before has let go of the addresses of store and fleet: it may hand on duties and copies after
-/// the last word to its successor.
-async fn are_free(config: &Config) {
-    let fleet = config.operator.fleet.as_ref().map(|table| table.listen);
+/// Waits until the process before has let go of the store's address: it may hand on duties and copies after the last word
+/// to its successor. The fleet's part waits for its own.
+async fn is_free(config: &Config) {
+    let Some(address) = config.operator.store.listen else { return };
     let until = Instant::now() + config.stop + LAST;
-    for address in config.operator.store.listen.into_iter().chain(fleet) {
-        while Instant::now() < until && TcpListener::bind(address).await.is_err() {
-            tokio::time::sleep(FREE_AGAIN).await;
-        }
-        // Its sockets and its files go one after the other.
+    while Instant::now() < until && TcpListener::bind(address).await.is_err() {
         tokio::time::sleep(FREE_AGAIN).await;
     }
+    // Its sockets and its files go one after the other.
+    tokio::time::sleep(FREE_AGAIN).await;
 }
 
 /// Takes what no two processes can have: the whole room for connections, the address for questions about servers and
@@ -381,7 +379,7 @@
 ) {
     if !alone.is_finished() {
         let _ = alone.await;
-        are_free(&config).await;
+        is_free(&config).await;
     }
     on_its_own.send_replace(true);
     shared.halved.set(false);
