Let a node that starts or is upgraded find the life that it has, whatever it kept first

- What a holder keeps is synced before it answers, its view 200 ms later.
A process that ended in between came back with a view without itself, took its own directory for another life's, and gave up what it had promised.
Where the view knew the life and not yet the slots, the holder would have dropped the keys of slots that it held.
Rows have the life and the epoch of their slot: the directory now tells the life where the view is from before it, and a view from before the latest of these epochs neither serves nor drops anything (View::life_of, Holder::turn_to).
- While another process may have the node's place a process follows the view as a guest, under a word that is drawn.
A view that it had heard by then was not looked at again once it knew its own word, so that it did not belong until the next change of the view: always after an upgrade in a quiet fleet, now and then at a start.
It looks at it now (Daemon::settle_in).

--- a/src/copies/disk.rs
+++ b/src/copies/disk.rs
@@ -79,14 +79,23 @@
     pub held: Option<Held>,
 }
 
+/// What was held in one life of the node.
+#[derive(Debug, Default)]
+pub struct Restored {
+    /// The registers. Windows begin anew as long as they lasted when they were written: nothing says for how long the power
+    /// was off.
+    pub rows: Vec<(KeyId, Held)>,
+    /// The number of the latest view with which one of their slots had changed.
+    pub level: u64,
+}
+
 /// What a directory held.
 #[derive(Debug)]
 pub struct Found {
     /// The word under which the node asks to belong: another directory has another one, and is another life of it.
     pub birth: u64,
-    /// The registers by life of the node. Windows begin anew as long as they lasted when they were written: nothing says
-    /// for how long the power was off.
-    pub rows: BTreeMap<u64, Vec<(KeyId, Held)>>,
+    /// What was held, by life of the node.
+    pub lives: BTreeMap<u64, Restored>,
     /// Whether more was kept here before than is there now: an older copy was put back.
     pub is_old: bool,
 }
@@ -161,8 +170,8 @@
         disk.birth.store(birth, Relaxed);
         disk.count.store(count, Relaxed);
         let seen = disk.witness.as_ref().and_then(|witness| witness.count(birth));
-        let rows = disk.on(|database| disk.rows(database, now))?;
-        Ok((disk, Found { birth, rows, is_old: seen.is_some_and(|seen| seen > count) }))
+        let lives = disk.on(|database| disk.lives(database, now))?;
+        Ok((disk, Found { birth, lives, is_old: seen.is_some_and(|seen| seen > count) }))
     }
 
     /// Works on the database, which is opened again where the last work on it has failed.
@@ -198,10 +207,10 @@
         Ok(meta)
     }
 
-    fn rows(&self, database: &Database, now: u64) -> Result<BTreeMap<u64, Vec<(KeyId, Held)>>, DiskError> {
+    fn lives(&self, database: &Database, now: u64) -> Result<BTreeMap<u64, Restored>, DiskError> {
         let read = db(database.begin_read())?;
         let table = db(read.open_table(ROWS))?;
-        let mut rows: BTreeMap<u64, Vec<(KeyId, Held)>> = BTreeMap::new();
+        let mut lives: BTreeMap<u64, Restored> = BTreeMap::new();
         for entry in db(table.iter())? {
             let (key, value) = db(entry)?;
             let bad = |what: &str| DiskError::Damaged {
@@ -216,9 +225,11 @@
             }
             let kept: Kept = postcard::from_bytes(body).map_err(|e| bad(&e.to_string()))?;
             let held = Held { row: kept.row, until: now + kept.left_ms };
-            rows.entry(kept.incarnation).or_default().push((KeyId(key.value()), held));
+            let life = lives.entry(kept.incarnation).or_default();
+            life.rows.push((KeyId(key.value()), held));
+            life.level = life.level.max(kept.epoch);
         }
-        Ok(rows)
+        Ok(lives)
     }
 
     /// Keeps these changes of a life of the node, all of them or none; they are synced when it returns.
--- a/src/copies/holder.rs
+++ b/src/copies/holder.rs
@@ -52,6 +52,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     me: Option<u64>,
+    /// The view that what was restored was held by, at the least.
+    level: u64,
     rows: BTreeMap<KeyId, Held>,
     ends: BTreeSet<(u64, KeyId)>,
     /// The slots that this node holds or is to hold, with their epochs.
@@ -87,6 +89,7 @@
     pub fn new(most_bytes: usize) -> Self {
         Self {
             me: None,
+            level: 0,
             rows: BTreeMap::new(),
             ends: BTreeSet::new(),
             duties: BTreeMap::new(),
@@ -97,10 +100,14 @@
         }
     }
 
-    /// Turns to the holders of another view. Keys of slots that this node holds no more are dropped: all those to come
+    /// Turns to the holders of another view, of this number. Keys of slots that this node holds no more are dropped: all those to come
     /// have them. What it held in another life is not its own any more, and is dropped as well. While it does not
-    /// belong it answers nothing and drops nothing.
-    pub fn turn_to(&mut self, me: Option<u64>, slots: &Slots) {
+    /// belong it answers nothing and drops nothing, nor behind a restart by a view from before the one that it held by.
+    pub fn turn_to(&mut self, me: Option<u64>, number: u64, slots: &Slots) {
+        if number < self.level {
+            self.duties.clear();
+            return;
+        }
         let own = |slot: &Slot| me.is_some_and(|me| slot.has(me));
         self.serve(slots.all().filter(|(_, slot)| own(slot)).map(|(at, slot)| (at, slot.epoch)));
         let Some(me) = me else { return };
@@ -152,8 +159,8 @@
     }
 
     /// Puts in what was kept over a restart, as this life of the node.
-    pub fn restore(&mut self, me: u64, rows: impl IntoIterator<Item = (KeyId, Held)>) {
-        self.me = Some(me);
+    pub fn restore(&mut self, me: u64, level: u64, rows: impl IntoIterator<Item = (KeyId, Held)>) {
+        (self.me, self.level) = (Some(me), level);
         rows.into_iter().for_each(|(key, held)| self.put(key, held));
     }
 
--- a/src/copies/machine.rs
+++ b/src/copies/machine.rs
@@ -61,6 +61,8 @@
 /// Who belongs, by the view.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Members {
+    /// The number of the view.
+    pub number: u64,
     /// The life of this node; one that has left and hands its copies on keeps it until that is done.
     pub me: Option<u64>,
     /// Those that belong.
@@ -194,7 +196,7 @@
 
     /// Turns to another view.
     pub fn turn_to(&mut self, now: u64, members: Members, slots: Slots) -> Vec<Out> {
-        self.holder.turn_to(members.me, &slots);
+        self.holder.turn_to(members.me, members.number, &slots);
         self.repair.turn_to(members.me, &slots);
         let there = |id: &u64| members.nodes.contains(id) || members.leaving.contains(id);
         self.clocks.retain(|id, _| there(id));
--- a/src/fleet/copying.rs
+++ b/src/fleet/copying.rs
@@ -127,17 +127,23 @@
     }
 
     /// Takes up what is on disk, and says under which word the node is to belong: that of the directory, or a new one
-    /// where copies are in memory and end with the process.
-    pub(super) fn take_up(&mut self, now: u64, life: impl Fn(u64) -> Option<u64>) -> Result<u64, String> {
+    /// where copies are in memory and end with the process. `life` tells the life of a directory by its word and by the
+    /// last life that something was kept in.
+    pub(super) fn take_up(
+        &mut self,
+        now: u64,
+        life: impl Fn(u64, Option<u64>) -> Option<u64>,
+    ) -> Result<u64, String> {
         let Some(directory) = self.part.table.directory.clone() else { return Ok(rand::random()) };
-        let (disk, Found { mut birth, mut rows, is_old }) =
+        let (disk, Found { mut birth, mut lives, is_old }) =
             Disk::open(&directory, now).map_err(|e| e.to_string())?;
-        let me = life(birth).filter(|_| !is_old);
+        let last = lives.keys().next_back().copied();
+        let me = life(birth, last).filter(|_| !is_old);
         if let Some(me) = me {
-            let own = rows.remove(&me).unwrap_or_default();
-            info!("{} keys are held as before", own.len());
-            self.machine.holder_mut().restore(me, own);
-        } else if is_old || !rows.is_empty() {
+            let own = lives.remove(&me).unwrap_or_default();
+            info!("{} keys are held as before", own.rows.len());
+            self.machine.holder_mut().restore(me, own.level, own.rows);
+        } else if is_old || !lives.is_empty() {
             // Whoever counts on what was held here would count on what is not there.
             let why =
                 if is_old { "older than what was kept here last" } else { "of a life that is not known" };
@@ -201,6 +207,7 @@
     pub(super) fn turn_to(&mut self, now: u64, me: Option<u64>, view: &View) -> Vec<Datagram> {
         self.me = me;
         let members = Members {
+            number: view.number(),
             me,
             nodes: view.nodes().map(|node| node.incarnation).collect(),
             leaving: view.leaving().map(|node| node.incarnation).collect(),
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -446,23 +446,24 @@
 
     /// Takes its place, once no other process of the node has it.
     fn settle_in(&mut self, address: SocketAddr) -> Result<(), FleetError> {
-        let kept = keep(&self.table, &self.name)?;
+        let Kept { birth, view } = keep(&self.table, &self.name)?;
         self.applicant.address = self.table.address.unwrap_or(address);
-        self.applicant.birth = kept.birth;
+        self.applicant.birth = birth;
+        // As a guest it may have heard of a later view than the one that was kept.
+        if let Err(gap) = self.view.follow(Lacking::Whole(view)) {
+            debug!("{gap}");
+        }
         let now = self.now();
         if let Some(copying) = &mut self.copying {
-            let (name, view) = (self.name.clone(), &kept.view);
-            let life = |birth: u64| {
-                let own = view.get(&name).filter(|node| node.applicant.birth == birth);
-                own.map(|node| node.incarnation)
-            };
+            // What is held is synced before anyone hears of it, the view a while later: it may lack this life.
+            let (name, view) = (&self.name, &self.view);
+            let life = |birth, last| view.life_of(name, birth, last);
             self.applicant.birth = copying
                 .take_up(now, life)
                 .map_err(|problem| FleetError::Kept { path: "copies".to_owned(), problem })?;
         }
         self.wishes.send_replace(Some(self.applicant.clone()));
-        self.turn_to(Lacking::Whole(kept.view));
-        self.keep_on();
+        let _ = self.turned();
         Ok(())
     }
 
@@ -704,6 +705,11 @@
                 return Vec::new();
             }
         }
+        self.turned()
+    }
+
+    /// Goes by the view that there is now, and says what the copies send for it.
+    fn turned(&mut self) -> Vec<Datagram> {
         self.asked_peers = None;
         self.number.set(self.view.number());
         self.addresses = self.view.nodes().map(|node| (node.incarnation, node.applicant.address)).collect();
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -210,6 +210,14 @@
         self.steps.iter().find(meant).map(|step| step.lost)
     }
 
+    /// Which life the node of a directory is in: the one that belongs here with its word, or else the last that the
+    /// directory was used in, where this view is from before that one came. A life has the number of the view that it
+    /// came with.
+    pub fn life_of(&self, name: &str, birth: u64, last: Option<u64>) -> Option<u64> {
+        let here = self.get(name).filter(|node| node.applicant.birth == birth);
+        here.map(|node| node.incarnation).or_else(|| last.filter(|life| *life > self.number))
+    }
+
     /// Makes a change, and says with which life a node has come. One that asks twice gets the same.
     ///
     /// # Errors
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -255,8 +255,14 @@
     judged(&work);
 }
 
+/// What it holds is synced before it says so. The view is kept a while later: its process may end before that, and has then
+/// nothing on disk that says in which life it was, or which slots it held.
 #[rstest]
-fn a_holder_that_is_slow_and_not_dead_holds_nobody_up_and_one_that_restarts_keeps_its_word() {
+#[case::its_view_is_kept(true)]
+#[case::its_view_is_not_kept_yet(false)]
+fn a_holder_that_is_slow_and_not_dead_holds_nobody_up_and_one_that_restarts_keeps_its_word(
+    #[case] view_is_kept: bool,
+) {
     let (mut rig, work) = patiently(4, SYNCED);
     for key in 0..10 {
         rig.requests(1, key, &work.seen);
@@ -266,6 +272,9 @@
     rig.signal(3, "-CONT");
     let life = rig.seen(2).expect("it answers").incarnation;
     rig.kill(2);
+    if !view_is_kept {
+        std::fs::remove_dir_all(rig.dir.join("fleet-2")).expect("a directory");
+    }
     rig.again(2);
     until("it belongs as before", PATIENCE, || rig.seen(2).is_some_and(|seen| seen.incarnation == life));
     rig.logged(2, "keys are held as before");
--- a/tests/copies_rules.rs
+++ b/tests/copies_rules.rs
@@ -17,7 +17,7 @@
 use sillflow::copies::place::{Candidate, Field};
 use sillflow::copies::proposal::{Next, Proposal, Verdict, Wish};
 use sillflow::copies::register::{Ballot, Claimant, Fate, Row, Value};
-use sillflow::copies::slots::{Slot, Terms};
+use sillflow::copies::slots::{Slot, Slots, Terms};
 use sillflow::copies::wire::{Ask, Fetch, Held, Message, Said, What};
 use sillflow::fleet::view::Change;
 
@@ -174,6 +174,20 @@
     assert_eq!(holder.differs(KEY.slot(), 1, &[0; 16]), None);
 }
 
+#[rstest]
+fn what_was_held_by_a_later_view_is_not_judged_by_an_earlier_one() {
+    let mut before = holder(1, 1 << 20);
+    before.answer(0, &accept(KEY, 1, Fate::Claimed, 60_000));
+    let rows = before.rows().map(|(key, held)| (key, held.clone())).collect::<Vec<_>>();
+    let mut holder = holder(1, 1 << 20);
+    holder.restore(3, 6, rows);
+    holder.turn_to(Some(3), 5, &Slots::default());
+    assert!(holder.get(KEY).is_some());
+    assert!(matches!(holder.answer(0, &accept(KEY, 2, Fate::Claimed, 60_000)).0, Said::Elsewhere(_)));
+    holder.turn_to(Some(3), 6, &Slots::default());
+    assert!(holder.get(KEY).is_none(), "others have it by then");
+}
+
 #[rstest]
 fn ranges_tell_what_differs_and_pages_bring_it() {
     let (mut one, mut other) = (holder(1, 1 << 24), holder(1, 1 << 24));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -195,6 +195,22 @@
     assert!(well && report.nodes.len() == 6);
 }
 
+/// As long as the process before has the node's place the next one hears of views in which the node belongs, and is not it.
+#[rstest]
+fn a_node_whose_next_process_takes_over_belongs_as_before() {
+    let mut rig = Rig::new(4);
+    rig.hold(4);
+    rig.work = Some(rig::copies::Work::default());
+    rig.fleet(4);
+    let life = rig.seen(4).expect("it answers").incarnation;
+    rig.follow(4);
+    rig.upgrade(4);
+    rig.upgraded(4);
+    until("the next one belongs as before", PATIENCE, || {
+        rig.seen(4).is_some_and(|seen| seen.incarnation == life && seen.trouble.is_none())
+    });
+}
+
 /// The store has no quorum, and nodes die: who is alive is known, and who belongs stays.
 #[rstest]
 fn nodes_die_while_the_store_has_no_quorum() {
--- a/tests/rig/copied.rs
+++ b/tests/rig/copied.rs
@@ -378,6 +378,7 @@
                     let me = self.me(node);
                     let view = &self.nodes[node].view;
                     let members = Members {
+                        number: view.number(),
                         me,
                         nodes: view.nodes().map(|node| node.incarnation).collect(),
                         leaving: view.leaving().map(|node| node.incarnation).collect(),
