Ask nodes to call a server of which the votes are to know more

Need: with liars = 1 and six nodes in three zones a dead server was not out after 60 s, and with liars = 0 it took 16 to 53 s. Cause, shown with the plain functions: each of 2f+1 machines beside the f left out needs three bad calls in every set of zones, and a node that was failed once avoids the server by itself, so nobody has them. Without calls that are asked for no fleet of the least size ever removes it (tests/verdict_rules.rs).

Change: a count names servers in doubt (pooled evidence past 1 in 100), and the holder asks of each zone as many machines as must find it bad, without those that can add nothing, for one safe call a second, a tenth of the node's safe calls at the most. Who is asked depends on the past alone, so the martingale holds; the test of the error does so as well. A voter may add as much as makes up for f that praise, as far as fewer than 2f+1 never reach the bar: from f = 8 on they could. A removal for one zone forgets that zone's evidence alone. What a voter says is one message, Vote.

--- a/benches/verdicts/world.rs
+++ b/benches/verdicts/world.rs
@@ -6,17 +6,19 @@
 use std::net::SocketAddr;
 
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use sillflow::knowledge::Run;
 use sillflow::route::{Choice, Ended, Kind, Options, Pool, Spec, Standing};
-use sillflow::verdict::cap::{Limits, Member, decide};
-use sillflow::verdict::count::{Outlier, Rules, Scope, judge};
+use sillflow::verdict::cap::{Limits, Member};
+use sillflow::verdict::count::{Outlier, Scope};
 use sillflow::verdict::evidence::{
-    Book, Call, Counts, Evidence, Item, Life, MOST_ITEMS, Recorder, Voter, send_every_ms,
+    Call, Counts, Evidence, Item, Life, MOST_ITEMS, Recorder, Voter, send_every_ms,
 };
-use sillflow::verdict::keeper::{Keeper, Trial};
-use sillflow::verdict::list::{Guard, Share};
+use sillflow::verdict::holding::{Holding, Terms, Vote};
+use sillflow::verdict::keeper::Trial;
+use sillflow::verdict::list::{Guard, Share, Stage, Why};
 
 pub const ZONES: usize = 5;
 /// Mean work of a call, and the time past which it is worth nothing, in ms.
@@ -31,6 +33,8 @@
 const TICK_MS: f64 = 1_000.0;
 /// The part of the calls that would go to a server on trial which do.
 const TRIAL_PART: f64 = 0.2;
+/// The part of the calls without a pool that go to servers which the holder asks to be called.
+const ASKED_PART: f64 = 0.1;
 
 /// Something that is wrong for a time.
 #[derive(Clone, Debug)]
@@ -111,6 +115,7 @@
     guard: Guard,
     pool: Option<Pool>,
     trials: BTreeMap<SocketAddr, Trial>,
+    asked: Vec<SocketAddr>,
     sends: f64,
     number: u64,
 }
@@ -156,12 +161,10 @@
     plan: &'a Plan,
     rng: SmallRng,
     nodes: Vec<Node>,
-    names: Vec<(String, String)>,
     servers: Vec<Truth>,
-    members: Vec<Member>,
+    terms: Terms,
     ends: BinaryHeap<Reverse<End>>,
-    book: Book,
-    keeper: Keeper,
+    holding: Holding,
     seen: Seen,
     counted: f64,
 }
@@ -210,6 +213,7 @@
                 guard: Guard::default(),
                 pool: plan.pools.then(|| Pool::new(0.0, Options::default(), &specs)),
                 trials: BTreeMap::new(),
+                asked: Vec::new(),
                 sends: every * at as f64 / plan.nodes as f64,
                 number: 0,
             }
@@ -233,13 +237,15 @@
         };
         Self {
             plan,
-            names: nodes.iter().map(|node| (node.voter.name.clone(), node.voter.zone.clone())).collect(),
             nodes,
             servers,
-            members: (0..plan.servers).map(member).collect(),
+            terms: Terms {
+                members: (0..plan.servers).map(member).collect(),
+                limits: plan.limits,
+                ..Terms::default()
+            },
             ends: BinaryHeap::new(),
-            book: Book::default(),
-            keeper: Keeper::begin(0.0, 1, None),
+            holding: Holding::begin(0.0, 1, None),
             seen: Seen { alone: vec![None; plan.nodes], shuns: vec![None; plan.nodes], ..Seen::default() },
             counted: 0.0,
             rng,
@@ -288,12 +294,18 @@
                 Some(pool) => Some(pool.choose(now, work, true, &tried, &mut self.rng).ok()?),
                 None => None,
             };
-            let server =
-                choice.map_or_else(|| self.rng.random_range(..self.plan.servers), |one| index(one.address));
+            let server = choice.map_or_else(
+                || match node.asked.choose(&mut self.rng) {
+                    Some(asked) if self.rng.random::<f64>() < ASKED_PART => index(*asked),
+                    _ => self.rng.random_range(..self.plan.servers),
+                },
+                |one| index(one.address),
+            );
             let part = if self.plan.lists {
                 match node.guard.share(now, address(server), &node.voter.name, &node.voter.zone) {
                     Share::Part(part) => part,
                     Share::Trial => TRIAL_PART,
+                    Share::Asked => 1.0,
                 }
             } else {
                 1.0
@@ -372,21 +384,21 @@
     }
 
     fn restart(&mut self, now: f64) {
+        let told = self.plan.restarts.iter().filter(|one| one.told);
+        let at_work = told.filter(|one| (one.at..one.at + one.down_ms + TICK_MS).contains(&now));
+        self.terms.in_work = at_work.map(|one| address(one.server)).collect();
         let due = self.plan.restarts.iter().filter(|one| (now - TICK_MS < one.at) && one.at <= now);
         for one in due {
             let truth = &mut self.servers[one.server];
             (truth.down, truth.started) = ((now, now + one.down_ms), now + one.down_ms);
             truth.lives += 1;
-            if one.told {
-                self.book.forgive(address(one.server), now, now + one.down_ms + TICK_MS);
-            }
         }
     }
 
     /// Each node whose time it is sends its evidence, and gets the latest list back.
     fn send(&mut self, now: f64) {
         let every = send_every_ms(self.nodes.len());
-        let list = self.keeper.list();
+        let list = self.holding.list();
         let ill: Vec<usize> = self.plan.troubles.iter().flat_map(|one| one.servers.clone()).collect();
         for node in &mut self.nodes {
             if node.sends > now {
@@ -401,9 +413,14 @@
             evidence.number = node.number;
             self.seen.messages += 1;
             self.seen.bytes += postcard::to_stdvec(&evidence).expect("bytes").len() as u64;
-            self.book.take(now, &node.voter, &evidence).expect("evidence in form");
-            for (server, trial) in &node.trials {
-                self.keeper.tried(*server, &node.voter.name, *trial);
+            let trials = node.trials.iter().map(|(server, trial)| (*server, *trial)).collect();
+            let vote = Vote { voter: node.voter.clone(), life: 1, evidence, trials };
+            self.holding.hear(now, &vote).expect("evidence in form");
+            let asked = self.holding.asked(&node.voter.name);
+            if node.asked != asked {
+                node.asked = asked.to_vec();
+                let shares: BTreeMap<_, _> = asked.iter().map(|server| (*server, Share::Asked)).collect();
+                node.pool.iter_mut().for_each(|pool| pool.follow(now, shares.clone()));
             }
             if node.guard.seen() != list.number {
                 node.guard.accept(now, &list).expect("the latest list");
@@ -417,27 +434,15 @@
     }
 
     fn count(&mut self, now: f64) {
-        self.book.expire(now);
-        let found = judge(&self.book, now, &Rules::default());
-        self.keeper.relapse(now, &found.outliers);
-        let gone = self.keeper.gone(now);
-        let decision = decide(
-            &self.members,
-            &gone,
-            &found.outliers,
-            &BTreeMap::new(),
-            &self.plan.limits,
-            &Rules::default(),
-        );
-        for outlier in &decision.remove {
-            self.book.forget(outlier.server);
+        let within = 3.0 * send_every_ms(self.nodes.len());
+        let changes = self.holding.turn(now, &self.terms, within);
+        for listed in changes.listed.iter().filter(|listed| listed.stage == Stage::Out) {
+            let Why::Votes(outlier) = &listed.why else { continue };
             self.seen.removed.push((now, outlier.clone()));
             if !self.is_right(now, outlier) {
                 self.seen.wrong.push((now, outlier.clone()));
             }
         }
-        self.keeper.remove(now, &decision);
-        self.keeper.step(now, &self.names);
     }
 
     fn is_right(&self, now: f64, outlier: &Outlier) -> bool {
--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -16,6 +16,8 @@
     pub(super) far: Vec<ServerId>,
     /// Those that are on trial.
     pub(super) trial: Vec<ServerId>,
+    /// Those of which the fleet asks for evidence.
+    pub(super) asked: Vec<ServerId>,
     /// The largest weight among them.
     pub(super) most_weight: f64,
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -31,6 +31,10 @@
 /// Share of safe calls that may go to a server because it was not measured for so long, in ms.
 const LOOK_SHARE: f64 = 0.02;
 const LOOK_AGE_MS: f64 = 20_000.0;
+/// Share of safe calls that go to servers of which the fleet asks for evidence, and the least time between two to one, in
+/// ms.
+const ASKED_SHARE: f64 = 0.1;
+const ASKED_WAITS_MS: f64 = 1_000.0;
 /// Samples and calls for which "as the pool" counts in each server's estimate.
 const USUAL_SAMPLES: f64 = 0.5;
 const USUAL_CALLS: f64 = 1.0;
@@ -287,7 +291,8 @@
         let work = work.max(LEAST);
         let part = if self.shares.is_empty() { 0.0 } else { rng.random() };
         let look = if safe { self.unmeasured(now, part, tried, rng) } else { None };
-        let looked = self.on_trial(now, safe, tried, rng).or(look);
+        let looked = self.asked_for(now, safe, tried, rng);
+        let looked = looked.or_else(|| self.on_trial(now, safe, tried, rng)).or(look);
         let drawn = looked.or_else(|| self.drawn(now, work, part, tried, rng));
         let id = drawn.or_else(|| self.any(now, work, part, tried));
         let id = id.ok_or(Full)?;
@@ -327,6 +332,19 @@
         (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
     }
 
+    /// A server of which the fleet asks for evidence, whatever is thought of it here: a call that may be repeated, one at
+    /// a time, where none was measured for a while.
+    fn asked_for(&self, now: f64, safe: bool, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
+        let asked = &self.eligible.asked;
+        if !safe || asked.is_empty() || rng.random::<f64>() >= ASKED_SHARE {
+            return None;
+        }
+        let id = asked[rng.random_range(..asked.len())];
+        let old = |server: &Server| server.measured().is_none_or(|measured| now - measured >= ASKED_WAITS_MS);
+        let free = |server: &Server| server.in_hand == 0 && old(server);
+        (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
+    }
+
     /// Now and then the next server in turn, where it was not measured here for long: one that was bad once would
     /// never be seen to be good again, and a word that praises bad ones would never be refuted by good ones.
     fn unmeasured(
@@ -533,6 +551,9 @@
         let zone = &self.options.zone;
         let mut eligible = Eligible::default();
         for (id, server) in &self.servers {
+            if server.share == Share::Asked {
+                eligible.asked.push(id);
+            }
             match server.standing {
                 _ if server.share == Share::Trial => eligible.trial.push(id),
                 _ if server.is_removed() => continue,
--- a/src/route/server.rs
+++ b/src/route/server.rs
@@ -120,7 +120,12 @@
     /// Whether calls may go there as to any other, by what this node knows and by a number from 0 to 1 that is drawn
     /// for the call, of which a server on its way back takes a part.
     pub(super) fn is_open(&self, drawn: f64) -> bool {
-        self.standing == Standing::In && matches!(self.share, Share::Part(part) if drawn < part)
+        let open = match self.share {
+            Share::Part(part) => drawn < part,
+            Share::Asked => true,
+            Share::Trial => false,
+        };
+        self.standing == Standing::In && open
     }
 
     /// Whether a word of the server on its start is of another one than is known.
--- /dev/null
+++ b/src/verdict/asking.rs
@@ -0,0 +1,37 @@
+//! Who is asked to call a server of which more is to be known. A node avoids by itself what failed it once, and so would
+//! never have the calls that prove it; in a small fleet no others have them either.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::count::Doubt;
+use super::evidence::Voter;
+
+/// Servers that nodes are asked to call at the same time.
+pub const MOST_ASKED: usize = 8;
+/// Turns after which others are asked, where there are others: some have no calls to make.
+const TURNS: usize = 8;
+
+/// What each node is asked to call. Of each zone there are as many machines as must find a server bad, one node of each,
+/// without those whose evidence can add nothing further: so it costs no more than a bounded number of calls, however
+/// large the fleet. `near` are the nodes that are there.
+pub fn ask(doubts: &[Doubt], near: &[&Voter], turn: usize) -> BTreeMap<String, Vec<SocketAddr>> {
+    let mut zones: BTreeMap<&str, BTreeMap<&str, &Voter>> = BTreeMap::new();
+    for voter in near {
+        zones.entry(&voter.zone).or_default().entry(&voter.machine).or_insert(voter);
+    }
+    let mut asked: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+    for (doubt, machines) in
+        doubts.iter().take(MOST_ASKED).flat_map(|doubt| zones.values().map(move |one| (doubt, one)))
+    {
+        let left: Vec<&&Voter> = machines.values().filter(|one| !doubt.full.contains(&one.machine)).collect();
+        let from = if left.len() > doubt.needed { turn / TURNS * doubt.needed } else { 0 };
+        let these: BTreeSet<usize> = (from..from + doubt.needed).map(|at| at % left.len().max(1)).collect();
+        for at in these {
+            if let Some(voter) = left.get(at) {
+                asked.entry(voter.name.clone()).or_default().push(doubt.server);
+            }
+        }
+    }
+    asked
+}
--- a/src/verdict/count.rs
+++ b/src/verdict/count.rs
@@ -8,7 +8,7 @@
 use statrs::distribution::{ContinuousCDF, Normal};
 
 use super::evidence::{Book, CLASSES, Counts, Entry};
-use super::sequential::{Wealth, bar, bet, contribution, most_of, pooled};
+use super::sequential::{Wealth, bar, bet, contribution, doubt, most_of, pooled};
 
 /// A test begins in each slot and is looked at when it is so many slots old.
 pub const SPANS: [u64; 7] = [4, 8, 16, 32, 64, 128, 256];
@@ -137,11 +137,26 @@
     pub span: u64,
 }
 
+/// A server that may be worse than the pool: the evidence does not suffice, and more of it tells sooner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Doubt {
+    /// Which.
+    pub server: SocketAddr,
+    /// The pooled evidence, as a logarithm.
+    pub evidence: f64,
+    /// Machines that can add nothing further to it.
+    pub full: BTreeSet<String>,
+    /// Machines that have to find it bad, those that may lie among them.
+    pub needed: usize,
+}
+
 /// What a count came to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Findings {
     /// Those that are worse, one line a server and scope.
     pub outliers: Vec<Outlier>,
+    /// Those that may be, the worst first.
+    pub doubts: Vec<Doubt>,
     /// Machines that find most servers bad: they are the case themselves and count for nothing.
     pub ill: BTreeSet<String>,
 }
@@ -180,6 +195,11 @@
         let liars = rules.liars_of(units.len());
         Self { units, unit_of, zones, liars }
     }
+
+    /// The most that one unit may add.
+    fn most(&self) -> f64 {
+        most_of(least_voters(self.liars), self.liars)
+    }
 }
 
 type Tally = [Counts; CLASSES];
@@ -252,12 +272,20 @@
     let mut count = Count { electorate, rules, sheets, totals, ill: vec![false; units] };
     let mut findings = Findings::default();
     let mut found: BTreeMap<(SocketAddr, Scope), Outlier> = BTreeMap::new();
+    let mut doubts: BTreeMap<SocketAddr, Doubt> = BTreeMap::new();
     for span in SPANS {
         let from = Book::slot(now).saturating_sub(span - 1);
         count.reach_back(from);
         count.find_ill();
         for kind in [Kind::Failing, Kind::Slow] {
-            for outlier in count.outliers(kind, span, from) {
+            let (outliers, doubted) = count.outliers(kind, span, from);
+            for one in doubted {
+                let known = doubts.entry(one.server).or_insert(one.clone());
+                if one.evidence > known.evidence {
+                    *known = one;
+                }
+            }
+            for outlier in outliers {
                 let known = found.entry((outlier.server, outlier.scope.clone())).or_insert(outlier.clone());
                 if outlier.evidence > known.evidence {
                     *known = outlier;
@@ -271,6 +299,9 @@
     let everywhere: BTreeSet<SocketAddr> =
         found.keys().filter(|(_, scope)| *scope == Scope::Everywhere).map(|(server, _)| *server).collect();
     found.retain(|(server, scope), _| *scope == Scope::Everywhere || !everywhere.contains(server));
+    doubts.retain(|server, _| !found.keys().any(|(known, _)| known == server));
+    findings.doubts = doubts.into_values().collect();
+    findings.doubts.sort_by(|a, b| b.evidence.total_cmp(&a.evidence));
     findings.outliers = found.into_values().collect();
     findings
 }
@@ -363,31 +394,69 @@
         kind.allowed(shared).max(own)
     }
 
-    fn outliers(&self, kind: Kind, span: u64, from: u64) -> Vec<Outlier> {
-        let least = least_voters(self.electorate.liars);
-        let bad = |sheet: &Sheet| {
-            let voices = self.heard().filter(|unit| kind.of(&whole(&sheet.by_unit[*unit])).0 > 0);
-            voices.count() >= least + self.electorate.liars
-        };
-        // With fewer the bar is out of reach: most servers cost nothing further.
-        let mut doubtful = self.sheets.iter().filter(|sheet| bad(sheet)).peekable();
+    /// Those that are worse than the pool, and those that may be.
+    fn outliers(&self, kind: Kind, span: u64, from: u64) -> (Vec<Outlier>, Vec<Doubt>) {
+        let liars = self.electorate.liars;
+        let needed = least_voters(liars) + liars;
+        let voices =
+            |sheet: &Sheet| self.heard().filter(|unit| kind.of(&whole(&sheet.by_unit[*unit])).0 > 0).count();
+        // Where only liars may have found it bad: most servers cost nothing further.
+        let mut doubtful =
+            self.sheets.iter().map(|sheet| (sheet, voices(sheet))).filter(|one| one.1 > liars).peekable();
+        let (mut outliers, mut doubts) = (Vec::new(), Vec::new());
         if doubtful.peek().is_none() {
-            return Vec::new();
+            return (outliers, doubts);
         }
         let pool = self.pool(kind);
-        doubtful.flat_map(|sheet| self.scopes(sheet, kind, span, from, &pool)).collect()
+        for (sheet, voices) in doubtful {
+            let votes = self.votes(sheet, kind, &pool);
+            doubts.extend(self.doubt(sheet, &votes, needed));
+            // With fewer the bar is out of reach.
+            if voices >= needed {
+                outliers.extend(self.scopes(sheet, kind, span, from, &votes));
+            }
+        }
+        (outliers, doubts)
     }
 
-    /// For whom a server is worse than the pool.
-    fn scopes(&self, sheet: &Sheet, kind: Kind, span: u64, from: u64, pool: &Pool) -> Vec<Outlier> {
+    fn zone_of(&self, unit: usize) -> usize {
+        self.electorate.units[unit].zone
+    }
+
+    /// What the units of some zones have together.
+    fn sum(&self, votes: &[(usize, Wealth)], who: &dyn Fn(usize) -> bool) -> f64 {
         let liars = self.electorate.liars;
-        let votes = self.votes(sheet, kind, pool);
-        let sum = |who: &dyn Fn(usize) -> bool| {
-            let heard = || votes.iter().filter(|(zone, _)| who(*zone));
-            let enough = heard().count() > 2 * liars;
-            if enough { pooled(heard().map(|(_, wealth)| *wealth), liars) } else { 0.0 }
-        };
-        let present: BTreeSet<usize> = votes.iter().map(|(zone, _)| *zone).collect();
+        let heard = || votes.iter().filter(|(unit, _)| who(self.zone_of(*unit)));
+        let enough = heard().count() > 2 * liars;
+        if enough { pooled(heard().map(|(_, wealth)| *wealth), liars) } else { 0.0 }
+    }
+
+    /// Whether all, or those of a zone, may find a server worse. What is asked for then depends on the past alone, so
+    /// that each call that follows is bad with the chance that the test allows.
+    fn doubt(&self, sheet: &Sheet, votes: &[(usize, Wealth)], needed: usize) -> Option<Doubt> {
+        let zones = 0..self.electorate.zones.len();
+        let by_zone = zones.map(|zone| self.sum(votes, &|of| of == zone));
+        let evidence = by_zone.fold(self.sum(votes, &|_| true), f64::max);
+        if evidence < doubt() {
+            return None;
+        }
+        let most = self.electorate.most();
+        let full = votes.iter().filter(|(_, wealth)| wealth.iter().any(|log| *log >= most));
+        let full = full.map(|(unit, _)| self.electorate.units[*unit].machine.clone()).collect();
+        Some(Doubt { server: sheet.server, evidence, full, needed })
+    }
+
+    /// For whom a server is worse than the pool.
+    fn scopes(
+        &self,
+        sheet: &Sheet,
+        kind: Kind,
+        span: u64,
+        from: u64,
+        votes: &[(usize, Wealth)],
+    ) -> Vec<Outlier> {
+        let sum = |who: &dyn Fn(usize) -> bool| self.sum(votes, who);
+        let present: BTreeSet<usize> = votes.iter().map(|(unit, _)| self.zone_of(*unit)).collect();
         if present.is_empty() || self.bad_slots(sheet, kind, from) < LEAST_SLOTS {
             return Vec::new();
         }
@@ -414,9 +483,9 @@
             .collect()
     }
 
-    /// The evidence of each unit that has any, with its zone.
+    /// The evidence of each unit that has any.
     fn votes(&self, sheet: &Sheet, kind: Kind, pool: &Pool) -> Vec<(usize, Wealth)> {
-        let most = most_of(least_voters(self.electorate.liars));
+        let most = self.electorate.most();
         let vote = |unit: usize| {
             let mut all = Wealth::default();
             let mut any = false;
@@ -432,7 +501,7 @@
             if !any && self.rules.has(Planted::AbstentionsAsGood) {
                 (any, all) = (true, bet(LEAST_CALLS, 0, kind.allowed(0.0)));
             }
-            any.then(|| (self.electorate.units[unit].zone, contribution(&all, most)))
+            any.then(|| (unit, contribution(&all, most)))
         };
         self.heard().filter_map(vote).collect()
     }
--- a/src/verdict/door.rs
+++ b/src/verdict/door.rs
@@ -11,9 +11,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::evidence::Voter;
+use super::holding::Vote;
+use super::list::Number;
 use super::part::Seat;
 use super::wire::{Answer, Holder, PATIENCE, QUESTION_BYTES, Said, What, receive, send};
-use crate::fleet::view::Node;
+use crate::fleet::view::{Applicant, Node};
 
 /// Connections served at once; further ones wait.
 const ROOM: usize = 64;
@@ -54,29 +56,26 @@
         debug!("verdicts: {} is not known at {from}", said.from);
         return Answer::Refused(format!("{} does not belong to the fleet at {}", said.from, from.ip()));
     };
-    match &said.what {
-        What::Holds { fence, best } => {
-            match seat.hear_of(Holder { fence: *fence, name: node.applicant.name }) {
-                Ok(()) => Answer::Known(seat.list_above(*best)),
-                Err(seen) => Answer::Passed(seen),
-            }
+    match said.what {
+        What::Holds { fence, best } => match seat.hear_of(Holder { fence, name: node.applicant.name }) {
+            Ok(()) => Answer::Known(seat.list_above(best)),
+            Err(seen) => Answer::Passed(seen),
+        },
+        What::Evidence { evidence, trials, have } => {
+            let vote = Vote { voter: voter(&node), life: said.life, evidence, trials };
+            count(seat, &vote, have)
         }
-        What::Evidence { .. } => count(seat, &node, &said),
     }
 }
 
-fn count(seat: &Seat, node: &Node, said: &Said) -> Answer {
-    let What::Evidence { evidence, trials, have } = &said.what else { return Answer::Elsewhere(None) };
-    let applicant = &node.applicant;
-    let voter = Voter {
-        name: applicant.name.clone(),
-        machine: applicant.machine.clone(),
-        zone: applicant.zone.clone(),
-    };
+fn voter(node: &Node) -> Voter {
+    let Applicant { name, machine, zone, .. } = node.applicant.clone();
+    Voter { name, machine, zone }
+}
+
+fn count(seat: &Seat, vote: &Vote, have: Number) -> Answer {
     match seat.counting.borrow_mut().as_mut() {
-        Some(counting) if counting.may() => {
-            counting.hear(seat.now(), &voter, said.life, evidence, trials, *have)
-        }
+        Some(counting) if counting.may() => counting.hear(seat.now(), vote, have),
         _ => Answer::Elsewhere(seat.holder().filter(|holder| holder.name != seat.options.name)),
     }
 }
--- a/src/verdict/evidence.rs
+++ b/src/verdict/evidence.rs
@@ -392,9 +392,14 @@
         self.grace.insert(server, (slot(from), slot(until)));
     }
 
-    /// Forgets all of one server, as once it has been judged by it: no evidence removes twice.
-    pub fn forget(&mut self, server: SocketAddr) {
-        self.servers.remove(&server);
+    /// Forgets what those of a zone (all, where none is named) have said of a server, as once it has been judged by it: no
+    /// evidence removes twice.
+    pub fn forget(&mut self, server: SocketAddr, zone: Option<&str>) {
+        let Some(zone) = zone else { return drop(self.servers.remove(&server)) };
+        let Some(shelf) = self.servers.get_mut(&server) else { return };
+        let of_zone = |voter: &usize| self.voters[*voter].zone == zone;
+        shelf.entries.retain(|entry| !of_zone(&entry.voter));
+        shelf.of_voter.retain(|voter, _| !of_zone(voter));
     }
 
     /// Drops what is too old to count.
--- a/src/verdict/holder.rs
+++ b/src/verdict/holder.rs
@@ -2,7 +2,6 @@
 //! list on each second.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,9 +12,8 @@
 
 use super::cap::Reason;
 use super::count::Scope;
-use super::evidence::{Evidence, EvidenceError, SLOT_MS, Voter};
-use super::holding::{Changes, Holding};
-use super::keeper::Trial;
+use super::evidence::{EvidenceError, SLOT_MS};
+use super::holding::{Changes, Holding, Vote};
 use super::list::{List, Listed, Number, Stage, Why};
 use super::part::{Evident, Report, Seat};
 use super::wire::{Answer, Said, What, say};
@@ -38,17 +36,10 @@
         self.held.check().is_ok()
     }
 
-    /// Takes what a voter says, and answers it.
-    pub(super) fn hear(
-        &mut self,
-        now: f64,
-        voter: &Voter,
-        life: u64,
-        evidence: &Evidence,
-        trials: &[(SocketAddr, Trial)],
-        have: Number,
-    ) -> Answer {
-        match self.holding.hear(now, voter, life, evidence, trials) {
+    /// Takes what a voter says, and answers it. It has the list of this number.
+    pub(super) fn hear(&mut self, now: f64, vote: &Vote, have: Number) -> Answer {
+        let voter = &vote.voter;
+        match self.holding.hear(now, vote) {
             // It came already, and the answer was lost.
             Ok(()) | Err(EvidenceError::Again { .. }) => {}
             Err(problem) => {
@@ -58,7 +49,8 @@
         }
         let number = self.holding.number();
         let list = (have != number).then(|| self.holding.list());
-        Answer::Counted { number, list, ill: self.holding.ill().contains(&voter.machine) }
+        let ill = self.holding.ill().contains(&voter.machine);
+        Answer::Counted { number, list, ill, asked: self.holding.asked(&voter.name).to_vec() }
     }
 
     /// Adds what only the one that counts can show.
--- a/src/verdict/holding.rs
+++ b/src/verdict/holding.rs
@@ -5,8 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::asking::ask;
 use super::cap::{Limits, Member, Reason, Word, decide};
-use super::count::{Findings, Outlier, Rules, judge};
+use super::count::{Findings, Outlier, Rules, Scope, judge};
 use super::evidence::{Book, Evidence, EvidenceError, SLOT_MS, SLOTS, Voter};
 use super::keeper::{Keeper, Trial};
 use super::list::{List, Listed, Number};
@@ -30,11 +31,24 @@
     pub rules: Rules,
 }
 
+/// What a voter says, and who it is by the fleet's view.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vote {
+    /// Who.
+    pub voter: Voter,
+    /// Changes with each start of its process.
+    pub life: u64,
+    /// All of its calls.
+    pub evidence: Evidence,
+    /// Those to servers that it was to try.
+    pub trials: Vec<(SocketAddr, Trial)>,
+}
+
 /// One voter as the holder heard it last.
 #[derive(Clone, Debug)]
 struct Heard {
+    voter: Voter,
     life: u64,
-    zone: String,
     at: f64,
 }
 
@@ -71,6 +85,9 @@
     began: f64,
     findings: Findings,
     kept: Vec<Kept>,
+    /// Servers that each node is asked to call, and turns so far.
+    asked: BTreeMap<String, Vec<SocketAddr>>,
+    turns: usize,
 }
 
 impl Holding {
@@ -84,6 +101,8 @@
             began: now,
             findings: Findings::default(),
             kept: Vec::new(),
+            asked: BTreeMap::new(),
+            turns: 0,
         }
     }
 
@@ -107,6 +126,11 @@
         &self.findings.ill
     }
 
+    /// Servers that a node is asked to call: of these more is to be known.
+    pub fn asked(&self, node: &str) -> &[SocketAddr] {
+        self.asked.get(node).map_or(&[], Vec::as_slice)
+    }
+
     /// Voters that were heard in the last `within` ms, and how long ago the last of them was, in ms.
     pub fn voters(&self, now: f64, within: f64) -> (usize, Option<f64>) {
         let ages = || self.heard.values().map(|heard| now - heard.at);
@@ -118,23 +142,17 @@
         self.heard.get(node).is_some_and(|heard| now - heard.at <= within)
     }
 
-    /// Takes what a voter says. `life` changes with each start of its process.
+    /// Takes what a voter says.
     ///
     /// # Errors
     /// Nothing of its evidence counts, for the reason given.
-    pub fn hear(
-        &mut self,
-        now: f64,
-        voter: &Voter,
-        life: u64,
-        evidence: &Evidence,
-        trials: &[(SocketAddr, Trial)],
-    ) -> Result<(), EvidenceError> {
-        if self.heard.get(&voter.name).is_some_and(|heard| heard.life != life) {
+    pub fn hear(&mut self, now: f64, vote: &Vote) -> Result<(), EvidenceError> {
+        let Vote { voter, life, evidence, trials } = vote;
+        if self.heard.get(&voter.name).is_some_and(|heard| heard.life != *life) {
             self.book.reborn(&voter.name);
         }
         self.book.take(now, voter, evidence)?;
-        let heard = Heard { life, zone: voter.zone.clone(), at: now };
+        let heard = Heard { voter: voter.clone(), life: *life, at: now };
         self.heard.insert(voter.name.clone(), heard);
         trials.iter().for_each(|(server, trial)| self.keeper.tried(*server, &voter.name, *trial));
         Ok(())
@@ -152,12 +170,28 @@
         let gone = self.keeper.gone(now);
         let decision = decide(&terms.members, &gone, outliers, &terms.words, &terms.limits, &terms.rules);
         // No evidence removes twice.
-        decision.remove.iter().for_each(|outlier| self.book.forget(outlier.server));
+        for Outlier { server, scope, .. } in &decision.remove {
+            let zone = match scope {
+                Scope::Everywhere => None,
+                Scope::Zone(zone) => Some(zone.as_str()),
+            };
+            self.book.forget(*server, zone);
+        }
         self.keeper.remove(now, &decision);
-        let near = self.heard.iter().filter(|(_, heard)| now - heard.at <= within);
+        let near = self.heard.values().filter(|heard| now - heard.at <= within);
+        let near: Vec<&Voter> = near.map(|heard| &heard.voter).collect();
         let nodes: Vec<(String, String)> =
-            near.map(|(name, heard)| (name.clone(), heard.zone.clone())).collect();
+            near.iter().map(|voter| (voter.name.clone(), voter.zone.clone())).collect();
         self.keeper.step(now, &nodes);
+        self.turns += 1;
+        // Of those that operators have spoken on, and of those on their way back, nothing hangs on it.
+        let listed = self.keeper.list();
+        let settled = |server| {
+            let known = |one: &Listed| one.server == server && one.scope == Scope::Everywhere;
+            terms.words.contains_key(&server) || listed.entries.iter().any(known)
+        };
+        self.findings.doubts.retain(|doubt| !settled(doubt.server));
+        self.asked = ask(&self.findings.doubts, &near, self.turns);
         let kept = decision.kept.into_iter().map(|(outlier, reason)| Kept { outlier, reason });
         let kept = std::mem::replace(&mut self.kept, kept.collect());
         self.changes(&before, &kept, &ill)
--- a/src/verdict/list.rs
+++ b/src/verdict/list.rs
@@ -97,9 +97,11 @@
     Part(f64),
     /// Trial calls: this node is one of those that make them.
     Trial,
+    /// The whole of it, and calls beside that for evidence: more is to be known of it.
+    Asked,
 }
 
-/// What a listed server gets from one node.
+/// What a server gets from one node, other than its whole share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Given {
     /// How much.
@@ -110,6 +112,11 @@
     pub times: u32,
 }
 
+impl Given {
+    /// What a server gets that is not listed, and that the node is asked to call.
+    pub const ASKED: Self = Self { share: Share::Asked, kind: Kind::Failing, times: 0 };
+}
+
 /// What all listed servers get from one node.
 pub type Shares = BTreeMap<SocketAddr, Given>;
 
@@ -228,6 +235,7 @@
             Self::Part(part) if *part == 0.0 => 0.0,
             Self::Trial => 0.001,
             Self::Part(part) => *part,
+            Self::Asked => 1.0,
         }
     }
 }
--- a/src/verdict/mod.rs
+++ b/src/verdict/mod.rs
@@ -11,6 +11,7 @@
 //! ages. That one node counts at a time is a duty's business: its number is an argument. [`part`] has the tasks: on a
 //! thread of its own each node sends its evidence, hears who counts and applies lists, and counts while it has the duty.
 
+pub mod asking;
 pub mod cap;
 pub mod count;
 mod door;
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -14,12 +14,13 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::asking::MOST_ASKED;
 use super::evidence::{Evidence, send_every_ms};
 use super::holder::Counting;
 use super::holding::{Kept, Terms};
 use super::keeper::Trial;
 use super::kept::{KeepError, KeptGuard};
-use super::list::{List, Listed, Number, Shares};
+use super::list::{Given, List, Listed, Number, Shares};
 use super::wire::Holder;
 use super::{door, holder, voter};
 use crate::duty::Held;
@@ -138,6 +139,7 @@
         known: RefCell::default(),
         counting: RefCell::default(),
         own: RefCell::default(),
+        asked: RefCell::default(),
         rung: Notify::new(),
     });
     spawn_local(door::open(listener, seat.clone()));
@@ -167,6 +169,8 @@
     /// While this node counts.
     pub(super) counting: RefCell<Option<Counting>>,
     pub(super) own: RefCell<Own>,
+    /// Servers that the one that counts asks this node to call.
+    pub(super) asked: RefCell<Vec<SocketAddr>>,
     /// Rung when the evidence is to be sent now.
     pub(super) rung: Notify,
 }
@@ -261,7 +265,10 @@
         let now = self.now();
         let guard = self.guard.borrow();
         let guard = guard.guard();
-        let shares = guard.shares(now, &self.options.name, &self.options.zone);
+        let mut shares = guard.shares(now, &self.options.name, &self.options.zone);
+        for server in self.asked.borrow().iter().take(MOST_ASKED) {
+            shares.entry(*server).or_insert(Given::ASKED);
+        }
         self.options.shares.send_if_modified(|known| {
             let changed = *known != shares;
             if changed {
--- a/src/verdict/sequential.rs
+++ b/src/verdict/sequential.rs
@@ -15,6 +15,8 @@
 pub const FALSE_A_TEST: f64 = 1e-10;
 /// The chance that a server which is as bad as it was when it went is found well by one node that tries it.
 pub const FALSE_A_RETURN: f64 = 1e-3;
+/// The chance that more is asked for of a server that is no worse than the pool, at each look.
+const FALSE_DOUBT: f64 = 0.01;
 /// The least and the most that `p0` may be.
 const NULL: (f64, f64) = (1e-4, 0.95);
 
@@ -73,9 +75,17 @@
     -FALSE_A_TEST.ln()
 }
 
-/// The most that one of `least` voters may add, so that fewer never reach the bar.
-pub fn most_of(least: usize) -> f64 {
-    (bar() + (STAKES.len() as f64).ln()) / least.max(1) as f64
+/// What it has to reach for more of it to be asked for.
+pub fn doubt() -> f64 {
+    -FALSE_DOUBT.ln()
+}
+
+/// The most that one of `least` voters may add: so much that they reach the bar beside `liars` that take away what they
+/// may, as far as fewer of them never do.
+pub fn most_of(least: usize, liars: usize) -> f64 {
+    let taken = -CASH.ln() * liars as f64;
+    let enough = (bar() + (STAKES.len() as f64).ln() + taken) / least.max(1) as f64;
+    enough.min(0.999 * bar() / least.saturating_sub(1).max(1) as f64)
 }
 
 /// The other way: the evidence of trial calls that a server is not as bad as `bad_rate` any more but as good as
--- a/src/verdict/voter.rs
+++ b/src/verdict/voter.rs
@@ -39,6 +39,8 @@
 /// Sends what there is; returns what was not counted, to be sent again. A message that came twice counts once: it has its
 /// number still.
 async fn send(seat: &Seat, pending: Option<Pending>) -> Option<Pending> {
+    // What it was asked to call holds until now.
+    seat.asked.take();
     let Some(holder) = seat.holder() else {
         look_around(seat).await;
         return pending;
@@ -52,7 +54,8 @@
     let what = What::Evidence { evidence, trials, have: seat.have() };
     let said = Said { from: seat.options.name.clone(), life: seat.life, what };
     match say(seat.address_of(&node), seat.from(), &said).await {
-        Ok(Answer::Counted { number, list, ill }) => {
+        Ok(Answer::Counted { number, list, ill, asked }) => {
+            seat.asked.replace(asked);
             match list {
                 Some(list) => seat.accept(&list),
                 None => seat.confirmed(number),
--- a/src/verdict/wire.rs
+++ b/src/verdict/wire.rs
@@ -76,6 +76,8 @@
         list: Option<List>,
         /// Whether the asker's machine finds most servers bad, and counts for nothing.
         ill: bool,
+        /// Servers that it is asked to call, since more is to be known of them; until its next message.
+        asked: Vec<SocketAddr>,
     },
     /// It does not count; this is who does, as far as it knows.
     Elsewhere(Option<Holder>),
--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -9,11 +9,13 @@
 use rstest::rstest;
 use sillflow::config::Operator;
 use sillflow::route::{self, Ended, Options, Pool, Spec};
+use sillflow::verdict::asking::{MOST_ASKED, ask};
 use sillflow::verdict::cap::{Decision, Gone, Limits, Member, Reason, Word, decide};
-use sillflow::verdict::count::{Findings, Kind, Outlier, Planted, Rules, Scope, judge, least_voters};
+use sillflow::verdict::count::{Doubt, Findings, Kind, Outlier, Planted, Rules, Scope, judge, least_voters};
 use sillflow::verdict::evidence::{
     Book, Call, Counts, Evidence, EvidenceError, Item, Life, MOST_BYTES, MOST_ITEMS, Recorder, SLOT_MS, Voter,
 };
+use sillflow::verdict::holding::{Holding, Terms, Vote};
 use sillflow::verdict::keeper::{CALM_MS, Keeper, OUT_MS, TRIAL_MS, Trial, out_ms};
 use sillflow::verdict::kept::{KeepError, KeptGuard};
 use sillflow::verdict::list::{Guard, KEEP_MS, List, ListError, Listed, Number, Share, Stage, Why};
@@ -105,14 +107,17 @@
 }
 
 #[rstest]
-#[case(0.03, 0, 0)]
-#[case(0.2, 0, 0)]
-#[case(0.03, 2, 2)]
-#[case(0.2, 2, 1)]
+#[case(0.03, 0, 0, false)]
+#[case(0.2, 0, 0, false)]
+#[case(0.03, 2, 2, false)]
+#[case(0.2, 2, 1, false)]
+#[case::calls_are_made_for_evidence(0.03, 0, 0, true)]
+#[case::calls_are_made_for_evidence_beside_liars(0.2, 2, 2, true)]
 fn looking_after_every_call_finds_a_server_falsely_no_more_than_stated(
     #[case] p0: f64,
     #[case] dropped: usize,
     #[case] liars: usize,
+    #[case] asks: bool,
 ) {
     // The bound that is used is out of reach of a simulation; the test is the same at one in twenty.
     const STATED: f64 = 0.05;
@@ -123,7 +128,9 @@
         let mut seen = [(0_u32, 0_u32); 8];
         let lies = [[1e9; 5]; 2];
         crossed += usize::from((0..400).any(|_| {
-            let voter: &mut (u32, u32) = &mut seen[rng.random_range(..8_usize)];
+            // Whoever has the most bad calls is asked for more, as long as some are bad.
+            let worst = (0..8).max_by_key(|at| seen[*at].1).filter(|at| asks && seen[*at].1 > 0);
+            let voter: &mut (u32, u32) = &mut seen[worst.unwrap_or(rng.random_range(..8_usize))];
             *voter = (voter.0 + 1, voter.1 + u32::from(rng.random::<f64>() < p0));
             let honest = seen.iter().map(|(calls, bad)| contribution(&bet(*calls, *bad, p0), f64::MAX));
             let all: Vec<Wealth> = honest.chain(lies.into_iter().take(liars)).collect();
@@ -246,6 +253,74 @@
     assert_eq!(found.ill.into_iter().collect::<Vec<_>>(), ["m0", "m1", "m2", "m3"]);
 }
 
+/// Seconds until a server that has died is out for all, where each node calls it once and then only when it is asked to.
+/// One of the machines may lie.
+fn out_after(zones: &[usize], liar: Option<usize>, asks: bool) -> Option<u32> {
+    let zones: Vec<usize> =
+        zones.iter().enumerate().flat_map(|(zone, count)| std::iter::repeat_n(zone, *count)).collect();
+    let rules = Rules { liars: Some(1), ..rules() };
+    let terms = Terms { members: members(&[1.0; 6]), rules, ..Terms::default() };
+    let mut holding = Holding::begin(0.0, 1, None);
+    (1..60).find(|second| {
+        let now = 1e6 + SLOT_MS * f64::from(*second);
+        for (n, zone) in zones.iter().enumerate() {
+            let name = format!("n{n}");
+            let calls = u32::from(*second == 1 || asks && holding.asked(&name).contains(&at(0)));
+            let said = |server| match (liar == Some(n), server) {
+                (true, 0) => counts(50, 0),
+                (true, 1) => counts(50, 50),
+                (_, 0) => counts(calls, calls),
+                _ => counts(1, 0),
+            };
+            let items = (0..6).map(|server| item(server, said(server))).collect();
+            let voter = Voter { machine: name.clone(), name, zone: format!("z{zone}") };
+            let evidence = Evidence { number: u64::from(*second), items };
+            let vote = Vote { voter, life: 1, evidence, trials: Vec::new() };
+            holding.hear(now, &vote).expect("evidence");
+        }
+        holding.turn(now, &terms, 3.0 * SLOT_MS);
+        let out = holding.list().entries;
+        assert!(out.iter().all(|one| one.server == at(0)), "{out:?}");
+        let whole = 1 + zones.last().copied().unwrap_or_default();
+        out.iter().any(|one| one.scope == Scope::Everywhere) || out.len() == whole
+    })
+}
+
+/// The least fleets in which one machine may lie, and one machine fewer.
+#[rstest]
+#[case::one_zone(&[4], &[5])]
+#[case::two_zones(&[4, 4], &[5, 5])]
+#[case::three_zones(&[2, 2, 2], &[3, 3, 2])]
+#[case::four_zones(&[2, 2, 1, 1], &[2, 2, 2, 1])]
+#[case::many_zones(&[1; 5], &[1; 6])]
+fn a_dead_server_goes_in_the_least_fleet_since_nodes_are_asked(
+    #[case] honest: &[usize],
+    #[case] lying: &[usize],
+) {
+    let liars = |zones: &[usize]| 0..zones.iter().sum();
+    let fewer = |zones: &[usize]| [&zones[..zones.len() - 1], &[zones[zones.len() - 1] - 1]].concat();
+    let after = out_after(honest, None, true).expect("it goes");
+    let worst = liars(lying).map(|liar| out_after(lying, Some(liar), true).expect("in spite of each")).max();
+    eprintln!("{honest:?} after {after} s, {lying:?} with a liar after {worst:?} s");
+    assert!(after <= 5 && worst <= Some(8));
+    assert_eq!(out_after(honest, None, false), None, "none has the calls that prove it");
+    assert_eq!(out_after(&fewer(honest), None, true), None);
+    assert!(liars(lying).skip(1).any(|liar| out_after(&fewer(lying), Some(liar - 1), true).is_none()));
+}
+
+#[rstest]
+fn no_more_nodes_are_asked_than_must_find_a_server_bad() {
+    let voters: Vec<Voter> = (0..300).map(|n| voter(n % 100, n)).collect();
+    let near: Vec<&Voter> = voters.iter().collect();
+    let full = [voters[0].machine.clone()].into();
+    let doubts = vec![Doubt { server: at(2), evidence: 5.0, full, needed: 10 }; 40];
+    let asked = ask(&doubts[..1], &near, 0);
+    assert_eq!((asked.len(), asked.contains_key(&voters[0].name)), (10 * ZONES, false));
+    assert!(ask(&doubts, &near, 3).values().all(|servers| servers.len() <= MOST_ASKED));
+    let later = ask(&doubts[..1], &near, 8);
+    assert!(later.keys().all(|name| !asked.contains_key(name)), "others, some may have no calls to make");
+}
+
 /// Two machines of many nodes find a server bad; so do not enough to remove it.
 fn crowd() -> Table {
     let mut table = Table::new();
@@ -800,13 +875,19 @@
 
 /// So many calls of a pool of four, 20 ms apart, all of which go well; how many went to each server.
 fn went(pool: &mut Pool, calls: usize, safe: bool) -> [usize; 4] {
+    went_beside(pool, calls, safe, route::Kind::Served)
+}
+
+/// The same where those to the first one end so.
+fn went_beside(pool: &mut Pool, calls: usize, safe: bool, first: route::Kind) -> [usize; 4] {
     let mut rng = SmallRng::seed_from_u64(27);
     let mut went = [0; 4];
     for call in 0..calls {
         let now = 20.0 * call as f64;
         let choice = pool.choose(now, 1.0, safe, &[], &mut rng).expect("room");
         went[usize::from(choice.address.port() - 9000)] += 1;
-        pool.ended(now + 10.0, &choice, &Ended { kind: route::Kind::Served, took_ms: 10.0, run: None });
+        let kind = if choice.address == at(0) { first } else { route::Kind::Served };
+        pool.ended(now + 10.0, &choice, &Ended { kind, took_ms: 10.0, run: None });
     }
     went
 }
@@ -827,6 +908,13 @@
     assert_eq!(out[0], 0);
     let part = went(&mut pool(&[(0, Share::Part(0.3))]), 4000, true);
     assert!(part[0] > usual[0] / 10 && part[0] < usual[0] * 2 / 3, "{part:?} beside {usual:?}");
+    // In 80 s a dead one is avoided; one that is asked for gets a call a second, if it may be made twice.
+    let dead =
+        |shares: &[(usize, Share)], safe| went_beside(&mut pool(shares), 4000, safe, route::Kind::Refused)[0];
+    let avoided = dead(&[], true);
+    assert!(avoided < 20 && dead(&[(0, Share::Asked)], false) < 20, "{avoided}");
+    let asked = dead(&[(0, Share::Asked)], true);
+    assert!((50..=80 + avoided).contains(&asked), "{asked} beside {avoided}");
     let trial = went(&mut pool(&[(0, Share::Trial)]), 4000, true);
     assert!(trial[0] > 100 && trial[0] < 700, "{trial:?}");
     // Calls that may not be made twice try it only where nothing else does for long.
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -17,7 +17,7 @@
 use sillflow::verdict::cap::{Limits, Member, Reason};
 use sillflow::verdict::count::{Kind, Outlier, Planted, Rules, Scope};
 use sillflow::verdict::evidence::{Counts, Evidence, Item, Life, Voter};
-use sillflow::verdict::holding::{Holding, Terms};
+use sillflow::verdict::holding::{Holding, Terms, Vote};
 use sillflow::verdict::keeper::OUT_MS;
 use sillflow::verdict::list::{List, Listed, Number, Stage, Why};
 use sillflow::verdict::wire::Answer;
@@ -445,7 +445,8 @@
                 *number += 1;
                 let evidence = Evidence { number: *number, items: (0..6).filter_map(item).collect() };
                 let voter = Voter { name, machine, zone: format!("z{}", node % 3) };
-                self.holding.hear(self.now as f64, &voter, 1, &evidence, &[]).expect("evidence");
+                let vote = Vote { voter, life: 1, evidence, trials: Vec::new() };
+                self.holding.hear(self.now as f64, &vote).expect("evidence");
             }
             self.now += 1000;
             self.holding.turn(self.now as f64, &self.terms, 3000.0);
