Bound servers together by the routes of sites that they alone serve

Change: the holder takes the routes of the merged table in force whose servers are all servers of the fleet as groups of the cap, once for each set of servers, 1,024 sets at the most, the smallest first; it looks at the table anew only when it or the list of servers changes. Index::each looks at all routes. Nothing is grouped where nothing stands out.

Result: with real processes the only server of a route stays and is said to, though it is dead; the sets of drawn tables are as written, from an index of many as well.

--- a/src/node.rs
+++ b/src/node.rs
@@ -96,7 +96,7 @@
     let records = records::Records::new(peers.clone(), routes.clone(), sites, handle.clone(), most);
     spawn_local(records.serve(servers.calls));
     let (publish, published) = watch::channel(config.published()?);
-    let mut votes = Votes::of(&config, routes.clone());
+    let mut votes = Votes::of(&config, routes.clone(), in_force.clone());
     let turning = Turning {
         reached,
         publish,
@@ -246,7 +246,7 @@
 
 impl Votes {
     /// The part, where the operator's file has one. The calls of this node are noted for it from here on.
-    fn of(config: &Config, routes: Option<Rc<Routes>>) -> Option<Self> {
+    fn of(config: &Config, routes: Option<Rc<Routes>>, in_force: Option<Arc<InForce>>) -> Option<Self> {
         let Config { name, operator, .. } = config;
         let (Some(table), Some(records), Some(fleet)) =
             (&operator.verdicts, &operator.records, &operator.fleet)
@@ -267,6 +267,7 @@
             listen: SocketAddr::new(fleet.listen.ip(), table.port),
             file: table.file.clone().or_else(in_directory),
             terms: agreed,
+            routes: in_force,
             asks,
             shares,
             shown,
--- a/src/partners/lookup.rs
+++ b/src/partners/lookup.rs
@@ -255,6 +255,18 @@
         self.routes == 0
     }
 
+    /// Looks at all routes, in any order.
+    pub fn each<'a>(&'a self, what: &mut impl FnMut(&'a Held)) {
+        for row in self.tenants.values().chain([&self.any]) {
+            for pair in row.classes.values().chain([&row.any]) {
+                let (_, few) = pair.few();
+                few.iter().flat_map(|entry| entry.ranged.held.iter()).for_each(&mut *what);
+                let ranges = pair.many().iter().flat_map(|form| form.nets.values());
+                ranges.for_each(|ranges| ranges.each(&mut |ranged| ranged.held.iter().for_each(&mut *what)));
+            }
+        }
+    }
+
     /// The routes for just these requests, the chosen one first.
     pub fn chain(&self, matches: &Match) -> &[Held] {
         self.held(matches).map_or(&[], |held| held)
--- a/src/verdict/cap.rs
+++ b/src/verdict/cap.rs
@@ -99,6 +99,7 @@
 }
 
 /// Servers that are bounded together.
+#[derive(Default)]
 struct Group {
     name: String,
     members: BTreeSet<SocketAddr>,
@@ -106,18 +107,17 @@
 }
 
 fn groups(members: &[Member]) -> Vec<Group> {
-    let mut groups: BTreeMap<String, BTreeSet<SocketAddr>> = BTreeMap::new();
+    let mut groups: BTreeMap<String, Group> = BTreeMap::new();
     for member in members {
-        groups.entry("all".to_owned()).or_default().insert(member.server);
-        groups.entry(format!("zone {}", member.zone)).or_default().insert(member.server);
-        for route in &member.routes {
-            groups.entry(format!("route {route}")).or_default().insert(member.server);
+        let routes = member.routes.iter().map(|route| format!("route {route}"));
+        for name in routes.chain(["all".to_owned(), format!("zone {}", member.zone)]) {
+            let group = groups.entry(name.clone()).or_insert(Group { name, ..Group::default() });
+            if group.members.insert(member.server) {
+                group.capacity += member.capacity;
+            }
         }
     }
-    let capacity = |of: &BTreeSet<SocketAddr>| {
-        members.iter().filter(|member| of.contains(&member.server)).map(|member| member.capacity).sum()
-    };
-    groups.into_iter().map(|(name, of)| Group { name, capacity: capacity(&of), members: of }).collect()
+    groups.into_values().collect()
 }
 
 /// Whether what is out for one scope touches those of another.
@@ -141,6 +141,9 @@
     limits: &Limits,
     rules: &Rules,
 ) -> Decision {
+    if outliers.is_empty() {
+        return Decision::default();
+    }
     let cap = Cap {
         groups: groups(members),
         capacity: members.iter().map(|member| (member.server, member.capacity)).collect(),
--- a/src/verdict/holder.rs
+++ b/src/verdict/holder.rs
@@ -16,6 +16,7 @@
 use super::holding::{Changes, Holding, Vote};
 use super::list::{List, Listed, Number, Stage, Why};
 use super::part::{Evident, Report, Seat};
+use super::routes::Routed;
 use super::wire::{Answer, Said, What, say};
 use crate::duty::{Held, Lost};
 
@@ -111,10 +112,14 @@
     let mut ticks = interval(Duration::from_secs_f64(SLOT_MS / 1000.0));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut done = 0;
+    let mut routed = Routed::default();
     loop {
         ticks.tick().await;
         let (_, within) = seat.period();
-        let terms = seat.options.terms.borrow().clone();
+        let mut terms = seat.options.terms.borrow().clone();
+        if let Some(in_force) = &seat.options.routes {
+            routed.put(in_force, &mut terms.members);
+        }
         let changes = seat
             .counting
             .borrow_mut()
--- a/src/verdict/mod.rs
+++ b/src/verdict/mod.rs
@@ -22,6 +22,7 @@
 pub mod kept;
 pub mod list;
 pub mod part;
+pub mod routes;
 pub mod sequential;
 mod voter;
 pub mod wire;
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use log::{error, info, warn};
 use rand::Rng;
@@ -26,6 +27,7 @@
 use crate::duty::Held;
 use crate::duty::lease::now_ms;
 use crate::fleet::view::{Node, View};
+use crate::partners::lookup::InForce;
 
 /// Periods in which a voter that is there is heard.
 const HEARD_PERIODS: f64 = 3.0;
@@ -54,6 +56,8 @@
     pub file: Option<PathBuf>,
     /// What operators set.
     pub terms: watch::Receiver<Terms>,
+    /// The merged table of sites' routes, where there is one.
+    pub routes: Option<Arc<InForce>>,
     /// What the serving core has noted.
     pub asks: Asks,
     /// What the serving core gives the servers.
--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use serde_json::json;
 use sillflow::config::Operator;
+use sillflow::partners::merge::{Change, Held, Merged};
 use sillflow::route::{self, Ended, Options, Pool, Spec};
 use sillflow::verdict::asking::{MOST_ASKED, ask};
 use sillflow::verdict::cap::{Decision, Gone, Limits, Member, Reason, Word, decide};
@@ -19,6 +22,7 @@
 use sillflow::verdict::keeper::{CALM_MS, Keeper, OUT_MS, TRIAL_MS, Trial, out_ms};
 use sillflow::verdict::kept::{KeepError, KeptGuard};
 use sillflow::verdict::list::{Guard, KEEP_MS, List, ListError, Listed, Number, Share, Stage, Why};
+use sillflow::verdict::routes::routes_of;
 use sillflow::verdict::sequential::{Wealth, bet, contribution, pooled, recovered};
 
 const ZONES: usize = 3;
@@ -624,6 +628,30 @@
     assert_eq!(decision.kept[0].1, Reason::Cap { group: "route only".to_owned() });
 }
 
+#[rstest]
+fn servers_are_bounded_together_by_the_routes_that_they_alone_serve() {
+    // Many with the same servers, so that there is an index of them.
+    let sets: Vec<Vec<usize>> =
+        [vec![0], vec![3, 77], vec![1, 2]].into_iter().chain(vec![vec![4, 5]; 40]).collect();
+    let mut merged = Merged::default();
+    for (n, servers) in sets.iter().enumerate() {
+        let servers: Vec<SocketAddr> = servers.iter().map(|server| at(*server)).collect();
+        let route = json!({"name": format!("r{n:02}"), "match": {"subjects": {"first": n, "last": n}},
+            "servers": servers, "preference": 1, "capacity": 1, "path": [], "restrictions": []});
+        let route = serde_json::from_value(route).expect("a route");
+        let from = "oral".to_owned().try_into().expect("a name");
+        let after = Some(Held { from, route: Arc::new(route), withdrawn: false });
+        merged.apply(1, &[Change { before: None, after }]).expect("the latest");
+    }
+    let mut seen = 0;
+    merged.index().each(&mut |_| seen += 1);
+    assert_eq!(seen, merged.index().len());
+    let found = routes_of(merged.index(), &(0..6).map(at).collect());
+    let found: Vec<_> = found.iter().map(|(server, routes)| (*server, routes.join(" "))).collect();
+    let expected = [(0, "oral/r00"), (1, "oral/r02"), (2, "oral/r02"), (4, "oral/r03"), (5, "oral/r03")];
+    assert_eq!(found, expected.map(|(server, route)| (at(server), route.to_owned())));
+}
+
 #[rstest]
 fn those_that_went_just_now_stand_out_too() {
     let fleet = members(&[1.0; 12]);
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -14,6 +14,7 @@
 use rig::verdicts::{Allowed, Broken, Call, IN_FORCE_MS, Seen, Site, StandIn, TAKES_MS, judge};
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
+use serde_json::json;
 use sillflow::verdict::cap::{Limits, Member, Reason};
 use sillflow::verdict::count::{Kind, Outlier, Planted, Rules, Scope};
 use sillflow::verdict::evidence::{Counts, Evidence, Item, Life, Voter};
@@ -246,6 +247,36 @@
     site.holds();
 }
 
+/// Waits until votes are shown to find a server bad that stays for this reason.
+fn kept(rig: &Rig, server: SocketAddr, reason: &Reason) {
+    until("the votes are shown", REMOVED, || {
+        let votes = rig.counts(&all()).and_then(|n| rig.votes(n));
+        let kept = votes.map(|votes| votes.kept).unwrap_or_default();
+        kept.iter().any(|kept| kept.outlier.server == server && kept.reason == *reason)
+    });
+}
+
+#[rstest]
+fn the_last_server_of_a_sites_route_stays() {
+    let mut site = Site::new(5, 3);
+    let last = site.address(0);
+    // No call is for this route.
+    let route = json!({"name": "only", "match": {"class": "none"}, "servers": [last], "preference": 1, "capacity": 1,
+        "path": ["oral"], "restrictions": []});
+    let table = json!({"site": "oral", "version": {"term": 1, "serial": 1}, "count": 1, "routes": [route], "gone": []});
+    let file = std::env::temp_dir().join(format!("sillflow-routes-{:x}", rand::random::<u64>()));
+    std::fs::write(&file, table.to_string()).expect("a file");
+    site.more =
+        format!("liars = 0\n[routes]\nsite = \"home\"\n[[routes.files]]\nof = \"oral\"\nfile = {file:?}\n");
+    let rig = Rig::voting(NODES, &mut site);
+    site.servers[0].die();
+    kept(&rig, last, &Reason::Cap { group: "route oral/only".to_owned() });
+    watch(&rig, &site, &mut StandIn::new(NODES + 1), Duration::from_secs(3));
+    assert!(all().iter().all(|n| rig.lists(*n, last).is_none()));
+    site.holds();
+    let _ = std::fs::remove_file(file);
+}
+
 #[rstest]
 fn an_operators_word_goes_before_votes_and_both_are_shown() {
     let (rig, mut site, mut asks) = a_fleet();
@@ -258,11 +289,7 @@
     left_alone(&site, 1, &all());
     site.ill(0, None);
     site.servers[0].die();
-    until("the votes are shown", REMOVED, || {
-        let votes = rig.counts(&all()).and_then(|n| rig.votes(n));
-        let kept = votes.map(|votes| votes.kept).unwrap_or_default();
-        kept.iter().any(|kept| kept.outlier.server == stays && kept.reason == Reason::Operator)
-    });
+    kept(&rig, stays, &Reason::Operator);
     watch(&rig, &site, &mut asks, Duration::from_secs(3));
     assert!(all().iter().all(|n| rig.lists(*n, stays).is_none()));
     rig.words(NODES, &mut site, "");
