--- a/src/verdict/holder.rs
+++ b/src/verdict/holder.rs
@@ -2,7 +2,6 @@
 //! list on each second.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,11 +12,11 @@
 
 use super::cap::Reason;
 use super::count::Scope;
-use super::evidence::{Evidence, EvidenceError, SLOT_MS, Voter};
-use super::holding::{Changes, Holding};
-use super::keeper::Trial;
+use super::evidence::{EvidenceError, SLOT_MS};
+use super::holding::{Changes, Holding, Vote};
 use super::list::{List, Listed, Number, Stage, Why};
 use super::part::{Evident, Report, Seat};
+use super::routes::Routed;
 use super::wire::{Answer, Said, What, say};
 use crate::duty::{Held, Lost};
 
@@ -38,17 +37,10 @@
         self.held.check().is_ok()
     }
 
-    /// Takes what a voter says, and answers it.
-    pub(super) fn hear(
-        &mut self,
-        now: f64,
-        voter: &Voter,
-        life: u64,
-        evidence: &Evidence,
-        trials: &[(SocketAddr, Trial)],
-        have: Number,
-    ) -> Answer {
-        match self.holding.hear(now, voter, life, evidence, trials) {
+    /// Takes what a voter says, and answers it. It has the list of this number.
+    pub(super) fn hear(&mut self, now: f64, vote: &Vote, have: Number) -> Answer {
+        let voter = &vote.voter;
+        match self.holding.hear(now, vote) {
             // It came already, and the answer was lost.
             Ok(()) | Err(EvidenceError::Again { .. }) => {}
             Err(problem) => {
@@ -58,7 +50,8 @@
         }
         let number = self.holding.number();
         let list = (have != number).then(|| self.holding.list());
-        Answer::Counted { number, list, ill: self.holding.ill().contains(&voter.machine) }
+        let ill = self.holding.ill().contains(&voter.machine);
+        Answer::Counted { number, list, ill, asked: self.holding.asked(&voter.name).to_vec() }
     }
 
     /// Adds what only the one that counts can show.
@@ -119,10 +112,14 @@
     let mut ticks = interval(Duration::from_secs_f64(SLOT_MS / 1000.0));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut done = 0;
+    let mut routed = Routed::default();
     loop {
         ticks.tick().await;
         let (_, within) = seat.period();
-        let terms = seat.options.terms.borrow().clone();
+        let mut terms = seat.options.terms.borrow().clone();
+        if let Some(in_force) = &seat.options.routes {
+            routed.put(in_force, &mut terms.members);
+        }
         let changes = seat
             .counting
             .borrow_mut()
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -6,6 +6,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use log::{error, info, warn};
 use rand::Rng;
@@ -14,17 +15,19 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::asking::MOST_ASKED;
 use super::evidence::{Evidence, send_every_ms};
 use super::holder::Counting;
 use super::holding::{Kept, Terms};
 use super::keeper::Trial;
 use super::kept::{KeepError, KeptGuard};
-use super::list::{List, Listed, Number, Shares};
+use super::list::{Given, List, Listed, Number, Shares};
 use super::wire::Holder;
 use super::{door, holder, voter};
 use crate::duty::Held;
 use crate::duty::lease::now_ms;
 use crate::fleet::view::{Node, View};
+use crate::partners::lookup::InForce;
 
 /// Periods in which a voter that is there is heard.
 const HEARD_PERIODS: f64 = 3.0;
@@ -53,6 +56,8 @@
     pub file: Option<PathBuf>,
     /// What operators set.
     pub terms: watch::Receiver<Terms>,
+    /// The merged table of sites' routes, where there is one.
+    pub routes: Option<Arc<InForce>>,
     /// What the serving core has noted.
     pub asks: Asks,
     /// What the serving core gives the servers.
@@ -138,6 +143,7 @@
         known: RefCell::default(),
         counting: RefCell::default(),
         own: RefCell::default(),
+        asked: RefCell::default(),
         rung: Notify::new(),
     });
     spawn_local(door::open(listener, seat.clone()));
@@ -167,6 +173,8 @@
     /// While this node counts.
     pub(super) counting: RefCell<Option<Counting>>,
     pub(super) own: RefCell<Own>,
+    /// Servers that the one that counts asks this node to call.
+    pub(super) asked: RefCell<Vec<SocketAddr>>,
     /// Rung when the evidence is to be sent now.
     pub(super) rung: Notify,
 }
@@ -261,7 +269,10 @@
         let now = self.now();
         let guard = self.guard.borrow();
         let guard = guard.guard();
-        let shares = guard.shares(now, &self.options.name, &self.options.zone);
+        let mut shares = guard.shares(now, &self.options.name, &self.options.zone);
+        for server in self.asked.borrow().iter().take(MOST_ASKED) {
+            shares.entry(*server).or_insert(Given::ASKED);
+        }
         self.options.shares.send_if_modified(|known| {
             let changed = *known != shares;
             if changed {
