--- a/src/partners/lookup.rs
+++ b/src/partners/lookup.rs
@@ -15,6 +15,7 @@
 use ipnet::IpNet;
 
 pub use super::crowd::{MOST_FORMS, MOST_IN_CELL};
+use super::flat::Flat;
 use super::merge::{Held, Merged};
 use super::ranges::{Ranged, Ranges};
 use super::route::{Match, Name, Request, Subjects};
@@ -67,7 +68,7 @@
 #[derive(Clone, Debug)]
 struct Form {
     prefix: Prefix,
-    nets: Map<u128, Ranges>,
+    nets: Flat<u128, Ranges>,
 }
 
 /// The routes of one tenant and class, or of any.
@@ -117,7 +118,7 @@
             return entries.iter().find(is_it).map(|entry| &entry.ranged.held);
         }
         let form = self.many().iter().find(|form| form.prefix == prefix(net))?;
-        form.nets.get(&bits(form.prefix, address_of(net))?)?.get(subjects)
+        form.nets.get(bits(form.prefix, address_of(net))?)?.get(subjects)
     }
 
     /// Has these routes for just these requests: none where there are none.
@@ -168,7 +169,7 @@
                 subjects.contains(subject) && entry.net.is_none_or(|net| net.contains(&address))
             })
             .map(|(_, entry)| &entry.ranged);
-        let nets = self.many().iter().filter_map(move |form| form.nets.get(&bits(form.prefix, address)?));
+        let nets = self.many().iter().filter_map(move |form| form.nets.get(bits(form.prefix, address)?));
         few.chain(nets.flat_map(move |ranges| ranges.found(subject)))
     }
 }
@@ -207,17 +208,15 @@
     let at = match all.binary_search_by_key(&longest_first(prefix), |form| longest_first(form.prefix)) {
         Ok(at) => at,
         Err(at) => {
-            all.insert(at, Form { prefix, nets: Map::default() });
+            all.insert(at, Form { prefix, nets: Flat::default() });
             at
         }
     };
     let nets = &mut all[at].nets;
-    let ranges = nets.entry(bits).or_default();
+    let mut ranges = nets.get(bits).cloned().unwrap_or_default();
     let before = ranges.put(subjects, held);
-    if ranges.is_empty() {
-        nets.remove(&bits);
-    }
-    if nets.is_empty() {
+    nets.put(bits, (!ranges.is_empty()).then_some(ranges));
+    if nets.len() == 0 {
         all.remove(at);
     }
     *forms = all.into();
@@ -229,7 +228,7 @@
 struct Row {
     any: Pair,
     /// By the class's number.
-    classes: Map<u64, Pair>,
+    classes: Flat<u64, Pair>,
 }
 
 /// All routes, found by what a request is. A clone is a snapshot.
@@ -264,7 +263,7 @@
         let row = matches.tenant.as_ref().map_or(Some(&self.any), |tenant| self.tenants.get(tenant))?;
         let pair = match &matches.class {
             None => &row.any,
-            Some(class) => row.classes.get(&self.classes.get(class)?.0)?,
+            Some(class) => row.classes.get(self.classes.get(class)?.0)?,
         };
         pair.get(matches.addresses.map(|net| net.trunc()), matches.subjects)
     }
@@ -284,19 +283,18 @@
             None => &mut self.any,
             Some(tenant) => self.tenants.entry(tenant.clone()).or_default(),
         };
-        let pair = match class {
-            None => &mut row.any,
-            Some(class) => row.classes.entry(class).or_default(),
-        };
-        pair.put(matches.addresses.map(|net| net.trunc()), matches.subjects, held);
-        if let Some(class) = class
-            && pair.len() == 0
-        {
-            row.classes.remove(&class);
+        let net = matches.addresses.map(|net| net.trunc());
+        match class {
+            None => row.any.put(net, matches.subjects, held),
+            Some(class) => {
+                let mut pair = row.classes.get(class).cloned().unwrap_or_default();
+                pair.put(net, matches.subjects, held);
+                row.classes.put(class, (pair.len() > 0).then_some(pair));
+            }
         }
         if let Some(tenant) = &matches.tenant
             && row.any.len() == 0
-            && row.classes.is_empty()
+            && row.classes.len() == 0
         {
             self.tenants.remove(tenant);
         }
@@ -323,7 +321,7 @@
         let class = self.classes.get(request.class).map(|(number, _)| *number);
         let row = request.tenant.and_then(|tenant| self.tenants.get(tenant));
         let pairs = move |row: &'a Row| {
-            let of_class = class.and_then(|class| row.classes.get(&class));
+            let of_class = class.and_then(|class| row.classes.get(class));
             of_class.into_iter().chain([&row.any])
         };
         row.into_iter()
--- a/src/partners/mod.rs
+++ b/src/partners/mod.rs
@@ -12,6 +12,7 @@
 mod crowd;
 pub mod export;
 pub mod fetch;
+mod flat;
 pub mod follow;
 pub mod keep;
 pub mod lead;
--- a/src/partners/ranges.rs
+++ b/src/partners/ranges.rs
@@ -33,7 +33,8 @@
 
 #[derive(Clone, Debug)]
 enum Node {
-    Leaf(Arc<[Ranged]>),
+    /// The subjects once more by themselves: they are all that is read of most.
+    Leaf(Arc<[Subjects]>, Arc<[Ranged]>),
     Branch(Arc<[Child]>),
 }
 
@@ -50,8 +51,8 @@
 impl Child {
     fn of(node: Node) -> Option<Self> {
         let (least, last) = match &node {
-            Node::Leaf(entries) => {
-                (entries.first()?.subjects, entries.iter().map(|entry| entry.subjects.last).max()?)
+            Node::Leaf(subjects, _) => {
+                (*subjects.first()?, subjects.iter().map(|subjects| subjects.last).max()?)
             }
             Node::Branch(children) => {
                 (children.first()?.least, children.iter().map(|child| child.last).max()?)
@@ -62,25 +63,30 @@
 }
 
 /// As one node, or two where it is too much for one.
-fn split<T: Clone>(mut all: Vec<T>, node: fn(Arc<[T]>) -> Node) -> impl Iterator<Item = Node> {
+fn split<T: Clone>(mut all: Vec<T>, node: fn(Vec<T>) -> Node) -> impl Iterator<Item = Node> {
     let rest = if all.len() > MOST { all.split_off(all.len() / 2) } else { Vec::new() };
-    [all, rest].into_iter().filter(|part| !part.is_empty()).map(move |part| node(part.into()))
+    [all, rest].into_iter().filter(|part| !part.is_empty()).map(node)
 }
 
 impl Node {
+    fn leaf(entries: Vec<Ranged>) -> Self {
+        Self::Leaf(entries.iter().map(|entry| entry.subjects).collect(), entries.into())
+    }
+
+    fn branch(children: Vec<Child>) -> Self {
+        Self::Branch(children.into())
+    }
+
     fn len(&self) -> usize {
         match self {
-            Self::Leaf(entries) => entries.len(),
+            Self::Leaf(_, entries) => entries.len(),
             Self::Branch(children) => children.len(),
         }
     }
 
     fn get(&self, subjects: Subjects) -> Option<&Arc<[Held]>> {
         match self {
-            Self::Leaf(entries) => {
-                let at = entries.binary_search_by_key(&subjects, |entry| entry.subjects).ok()?;
-                Some(&entries[at].held)
-            }
+            Self::Leaf(all, entries) => Some(&entries[all.binary_search(&subjects).ok()?].held),
             Self::Branch(children) => children.get(place(children, subjects))?.node.get(subjects),
         }
     }
@@ -88,7 +94,7 @@
     /// The nodes in place of this one: none, one or two.
     fn with(&self, subjects: Subjects, held: Option<Arc<[Held]>>) -> Vec<Node> {
         match self {
-            Self::Leaf(entries) => {
+            Self::Leaf(_, entries) => {
                 let mut all = entries.to_vec();
                 match (all.binary_search_by_key(&subjects, |entry| entry.subjects), held) {
                     (Ok(at), Some(held)) => all[at] = Ranged::new(subjects, held),
@@ -96,7 +102,7 @@
                     (Err(at), Some(held)) => all.insert(at, Ranged::new(subjects, held)),
                     (Err(_), None) => {}
                 }
-                split(all, Node::Leaf).collect()
+                split(all, Node::leaf).collect()
             }
             Self::Branch(children) => {
                 let at = place(children, subjects);
@@ -105,7 +111,7 @@
                 drop(all.splice(at..=at, new.into_iter().filter_map(Child::of)));
                 unite(&mut all, at);
                 unite(&mut all, at.saturating_sub(1));
-                split(all, Node::Branch).collect()
+                split(all, Node::branch).collect()
             }
         }
     }
@@ -113,9 +119,10 @@
     /// The narrowest range with a subject in it that is after `than`, where it is before what was found so far.
     fn narrowest<'a>(&'a self, subject: u64, than: Option<(u64, u64)>, found: &mut Option<&'a Ranged>) {
         match self {
-            Self::Leaf(entries) => {
-                for entry in entries.iter().take_while(|entry| entry.subjects.first <= subject) {
-                    let is_next = entry.subjects.last >= subject
+            Self::Leaf(all, entries) => {
+                let before = all.iter().take_while(|subjects| subjects.first <= subject);
+                for (subjects, entry) in before.zip(entries.iter()) {
+                    let is_next = subjects.last >= subject
                         && than.is_none_or(|than| entry.rank() > than)
                         && found.is_none_or(|found| entry.rank() < found.rank());
                     if is_next {
@@ -134,7 +141,7 @@
 
     fn each<'a>(&'a self, what: &mut impl FnMut(&'a Ranged)) {
         match self {
-            Self::Leaf(entries) => entries.iter().for_each(what),
+            Self::Leaf(_, entries) => entries.iter().for_each(what),
             Self::Branch(children) => children.iter().for_each(|child| child.node.each(what)),
         }
     }
@@ -152,7 +159,9 @@
         return;
     }
     let node = match (&one.node, &two.node) {
-        (Node::Leaf(one), Node::Leaf(two)) => Node::Leaf(one.iter().chain(two.iter()).cloned().collect()),
+        (Node::Leaf(_, one), Node::Leaf(_, two)) => {
+            Node::leaf(one.iter().chain(two.iter()).cloned().collect())
+        }
         (Node::Branch(one), Node::Branch(two)) => {
             Node::Branch(one.iter().chain(two.iter()).cloned().collect())
         }
@@ -167,7 +176,7 @@
 
 impl Default for Ranges {
     fn default() -> Self {
-        Self(Node::Leaf(Arc::default()))
+        Self(Node::leaf(Vec::new()))
     }
 }
 
@@ -186,7 +195,7 @@
         let before = self.get(subjects).is_some();
         let mut nodes = self.0.with(subjects, held);
         self.0 = match nodes.len() {
-            0 => Node::Leaf(Arc::default()),
+            0 => Node::leaf(Vec::new()),
             1 => nodes.remove(0),
             _ => Node::Branch(nodes.into_iter().filter_map(Child::of).collect()),
         };
@@ -200,12 +209,13 @@
 
     /// Those with a subject in them, the narrowest first.
     pub(super) fn found(&self, subject: u64) -> impl Iterator<Item = &Ranged> {
-        let next = move |than: Option<(u64, u64)>| {
+        let mut than = None;
+        std::iter::from_fn(move || {
             let mut found = None;
             self.0.narrowest(subject, than, &mut found);
+            than = found.map(Ranged::rank);
             found
-        };
-        std::iter::successors(next(None), move |entry| next(Some(entry.rank())))
+        })
     }
 
     /// Looks at all.
