Merge what a partner sends in pieces of 2 ms, in turn with the others and urgent ones first

A document of 100,000 routes was taken and merged in one piece on the thread that serves partners and told to all of them in another: over a second in which another partner's withdrawal waited.

A partner is lent to a thread beside while its document is read and taken. The task works 2 ms, then all else has its turn. What is told of all of a table, to partners, nodes and the disk, is a persistent map put into a document beside the thread; how many routes each has is counted, not gone through three times a second.

--- a/src/partners/board.rs
+++ b/src/partners/board.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use imbl::OrdMap;
 use thiserror::Error;
 
 use super::asking::{Feed, Line, Told};
@@ -56,12 +57,31 @@
     Gap(Version),
 }
 
+/// What a node is told or keeps. It costs little to have, whatever its size.
+#[derive(Clone, Debug)]
+pub struct Telling {
+    feed: Feed,
+    /// All routes, where it is all of the table.
+    all: OrdMap<Key, Held>,
+}
+
+impl Telling {
+    /// As it is sent and kept: for all of a table its size has to be gone through, beside a thread that serves.
+    pub fn feed(self) -> Feed {
+        let Self { mut feed, all } = self;
+        feed.routes.extend(all.values().map(Told::from));
+        feed
+    }
+}
+
 /// The merged table at one node.
 #[derive(Clone, Default)]
 pub struct Board {
     version: Version,
     by: String,
-    held: BTreeMap<Key, Held>,
+    held: OrdMap<Key, Held>,
+    /// Of each: its routes, and how many of them are told to nobody.
+    counts: BTreeMap<Name, (usize, usize)>,
     partners: BTreeMap<Name, Stand>,
     merged: Merged,
     lately: VecDeque<(u64, Vec<Key>)>,
@@ -100,6 +120,11 @@
         self.held.range(first..).take_while(move |((name, _), _)| name == from).map(|(_, held)| held)
     }
 
+    /// How many routes a partner or this site has, and how many of them are told to nobody.
+    pub fn count(&self, from: &Name) -> (usize, usize) {
+        self.counts.get(from).copied().unwrap_or_default()
+    }
+
     /// Notes how a partner stands.
     pub fn stands(&mut self, partner: &Name, stand: Stand) {
         self.partners.insert(partner.clone(), stand);
@@ -150,6 +175,7 @@
                 None => self.held.remove(&key),
             };
             if before != *after {
+                self.count_change(&key.0, before.as_ref(), after.as_ref());
                 real.push(Change { before, after: after.clone() });
                 keys.push(key);
             }
@@ -158,8 +184,18 @@
         (keys, matches)
     }
 
-    /// What the holder tells a node that has this version; nothing where it has all.
-    pub fn feed(&self, after: Option<Version>, now: u64) -> Feed {
+    fn count_change(&mut self, from: &Name, before: Option<&Held>, after: Option<&Held>) {
+        let (all, withheld) = self.counts.entry(from.clone()).or_default();
+        let is_withheld = |held: Option<&Held>| usize::from(held.is_some_and(|held| held.withdrawn));
+        *all = *all + usize::from(after.is_some()) - usize::from(before.is_some());
+        *withheld = *withheld + is_withheld(after) - is_withheld(before);
+        if *all == 0 {
+            self.counts.remove(from);
+        }
+    }
+
+    /// What the holder tells a node that has this version, or one that has nothing.
+    pub fn tell(&self, after: Option<Version>, now: u64) -> Telling {
         let partners = self
             .partners
             .iter()
@@ -175,8 +211,7 @@
             gone: Vec::new(),
         };
         let Some(from) = feed.from else {
-            feed.routes = self.held.values().map(Told::from).collect();
-            return feed;
+            return Telling { feed, all: self.held.clone() };
         };
         let since = self.lately.iter().filter(|(serial, _)| *serial > from.serial);
         let changed: BTreeSet<&Key> = since.flat_map(|(_, keys)| keys).collect();
@@ -186,7 +221,7 @@
                 None => feed.gone.push(key.clone()),
             }
         }
-        feed
+        Telling { feed, all: OrdMap::new() }
     }
 
     fn has_since(&self, after: Version) -> bool {
--- a/src/partners/export.rs
+++ b/src/partners/export.rs
@@ -5,6 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use imbl::OrdMap;
+
 use super::pending::{Key, Keys, Pending, Place, Waiting};
 
 use super::merge::{Held, Merged};
@@ -171,6 +173,23 @@
     changed: BTreeMap<Key, (usize, Option<Arc<Route>>)>,
 }
 
+/// What a partner is told next. It costs little to have, whatever its size.
+#[derive(Clone, Debug)]
+pub struct Telling {
+    document: Document,
+    /// All that it is told, where that is the whole table.
+    all: OrdMap<Key, Arc<Route>>,
+}
+
+impl Telling {
+    /// As it is sent: for a whole table its size has to be gone through, beside a thread that serves.
+    pub fn document(self) -> Document {
+        let Self { mut document, all } = self;
+        document.routes.extend(all.values().cloned());
+        document
+    }
+}
+
 /// What one partner has been told, and what it has to be.
 #[derive(Clone, Debug)]
 struct Outbox {
@@ -179,7 +198,7 @@
     /// What the partner has confirmed.
     confirmed: Option<Version>,
     /// What it has been told, with what has been sent and not been confirmed.
-    told: BTreeMap<Key, Arc<Route>>,
+    told: OrdMap<Key, Arc<Route>>,
     flight: Option<Flight>,
     urgent: Waiting,
     later: Waiting,
@@ -196,7 +215,7 @@
         Self {
             last: Version { term, serial: 0 },
             confirmed: None,
-            told: BTreeMap::new(),
+            told: OrdMap::new(),
             flight: None,
             urgent: Waiting::default(),
             later: Waiting::default(),
@@ -283,7 +302,7 @@
     }
 
     /// The next document for a partner that has this version.
-    fn answer(&mut self, own: &Name, after: Option<Version>, most: usize) -> Option<Document> {
+    fn tell_next(&mut self, own: &Name, after: Option<Version>, most: usize) -> Option<Telling> {
         self.confirm(after);
         let has_it = after.is_some() && after == self.confirmed;
         if has_it && self.urgent.is_empty() && self.later.is_empty() {
@@ -291,15 +310,14 @@
         }
         let asked = after.map_or(0, |after| if after.term == self.last.term { after.serial } else { 0 });
         self.last.serial = self.last.serial.max(asked).saturating_add(1);
-        let document = if has_it { self.differences(own, most) } else { self.whole(own) };
-        Some(document)
+        Some(if has_it { self.differences(own, most) } else { self.whole(own) })
     }
 
     fn pop(&mut self) -> Option<(Key, Option<Arc<Route>>)> {
         self.urgent.pop().or_else(|| self.later.pop())
     }
 
-    fn differences(&mut self, own: &Name, most: usize) -> Document {
+    fn differences(&mut self, own: &Name, most: usize) -> Telling {
         let mut changed = BTreeMap::new();
         let (mut routes, mut gone) = (Vec::new(), Vec::new());
         while changed.len() < most
@@ -315,23 +333,19 @@
         }
         self.flight = Some(Flight { version: self.last, is_whole: false, changed });
         let (from, count) = (self.confirmed, self.told.len());
-        Document { site: own.clone(), version: self.last, from, count, routes, gone }
+        let document = Document { site: own.clone(), version: self.last, from, count, routes, gone };
+        Telling { document, all: OrdMap::new() }
     }
 
-    fn whole(&mut self, own: &Name) -> Document {
+    fn whole(&mut self, own: &Name) -> Telling {
         while let Some((key, wished)) = self.pop() {
             self.tell(key, wished);
         }
         self.flight = Some(Flight { version: self.last, is_whole: true, changed: BTreeMap::new() });
-        let routes: Vec<Arc<Route>> = self.told.values().cloned().collect();
-        Document {
-            site: own.clone(),
-            version: self.last,
-            from: None,
-            count: routes.len(),
-            routes,
-            gone: Vec::new(),
-        }
+        let (version, count) = (self.last, self.told.len());
+        let (routes, gone) = (Vec::new(), Vec::new());
+        let document = Document { site: own.clone(), version, from: None, count, routes, gone };
+        Telling { document, all: self.told.clone() }
     }
 }
 
@@ -406,6 +420,11 @@
         self.urgent()
     }
 
+    /// Whether all that there was at first has been taken up.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole || self.pending.is_empty()
+    }
+
     /// How many matches have been noted and not been taken up.
     pub fn noted(&self) -> usize {
         self.pending.len()
@@ -467,8 +486,7 @@
         }
     }
 
-    /// The next document for a partner that has this version, with so many changes at most; nothing where it has all, or
-    /// where the whole table that it has to be told has not been taken up yet.
+    /// The next document for a partner, at once.
     ///
     /// # Errors
     /// It may not be told anything by this node.
@@ -478,14 +496,29 @@
         after: Option<Version>,
         most: usize,
     ) -> Result<Option<Document>, NotTold> {
+        Ok(self.tell(to, after, most)?.map(Telling::document))
+    }
+
+    /// What is told next to a partner that has this version, with so many changes at most; nothing where it has all, or
+    /// where the whole table that it has to be told has not been taken up yet.
+    ///
+    /// # Errors
+    /// It may not be told anything by this node.
+    pub fn tell(
+        &mut self,
+        to: &Name,
+        after: Option<Version>,
+        most: usize,
+    ) -> Result<Option<Telling>, NotTold> {
         let out = self.boxes.get_mut(to).ok_or_else(|| NotTold::NoPartner(to.to_string()))?;
         if let Some(seen) = after.map(|after| after.term).filter(|seen| *seen > self.number) {
             return Err(NotTold::Superseded { seen, number: self.number });
         }
-        if !self.is_whole && !self.pending.is_empty() && !out.follows(after) {
+        self.is_whole |= self.pending.is_empty();
+        if !self.is_whole && !out.follows(after) {
             return Ok(None);
         }
-        Ok(out.answer(&self.rules.own, after, most))
+        Ok(out.tell_next(&self.rules.own, after, most))
     }
 
     /// How many changes wait for a partner: urgent ones, and others.
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use bytes::Bytes;
 use log::{debug, error, info, warn};
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinSet, LocalSet, spawn_blocking, spawn_local};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{JoinSet, LocalSet, spawn_blocking, spawn_local, yield_now};
 use tokio::time::{Instant, sleep};
 
 use super::asking::{Asked, ROUTES};
@@ -23,6 +24,7 @@
 use super::planted::{self, Planted};
 use super::route::Name;
 use super::site::{Inside, Site, now};
+use super::table::Fault;
 use super::{keep, publish};
 use crate::config::{PartnersTable, SiteTable};
 use crate::duty::Guard;
@@ -41,6 +43,8 @@
 const KEEP_AFTER: Duration = Duration::from_millis(500);
 /// How often what a node keeps says how the partners stand, where nothing else changes.
 const KEEP_EVERY: Duration = Duration::from_secs(10);
+/// How long the thread works at what waits before all else has its turn.
+const PIECE: Duration = Duration::from_millis(2);
 /// Time between two documents of one partner: one that sends many costs the others no more.
 const BETWEEN: Duration = Duration::from_millis(10);
 /// Time until a partner that was turned down is asked again.
@@ -126,6 +130,7 @@
         in_force,
         shown,
         news: watch::channel(()).0,
+        work: Notify::new(),
         changed: Cell::new(false),
         shown_at: Cell::new(0),
         inside: RefCell::new(inside),
@@ -156,6 +161,7 @@
         for partner in &site.table.sites {
             asking.spawn_local(ask_partner(site.clone(), partner.clone()));
         }
+        asking.spawn_local(go_on(site.clone()));
         let wished = tokio::select! {
             lost = held.lost(), if !planted::is(Planted::AnswersUnheld) => {
                 info!("partners: {lost}");
@@ -191,6 +197,25 @@
     }
 }
 
+/// Merges what partners sent and takes it up for the others, in pieces of so much time: between these there are questions
+/// and answers, and whatever is urgent meanwhile is next.
+async fn go_on(site: Rc<Site>) {
+    loop {
+        let began = Instant::now();
+        let done = site.lead(|leading, board, now| {
+            while !leading.is_done() && began.elapsed() < PIECE {
+                leading.go_on(board, now);
+            }
+            leading.is_done()
+        });
+        site.news.send_replace(());
+        match done {
+            Some(false) => yield_now().await,
+            _ => site.work.notified().await,
+        }
+    }
+}
+
 type Stamp = Option<(SystemTime, u64)>;
 
 fn stamp(path: &Option<PathBuf>) -> Stamp {
@@ -201,7 +226,8 @@
 /// Reads this site's own routes where their file has changed.
 async fn own_routes(site: &Site, seen: &mut Option<Stamp>) {
     let stamp = stamp(&site.table.routes_file);
-    if *seen == Some(stamp) {
+    let is_merging = site.lead(|leading, _, _| leading.is_merging(&site.table.site)).unwrap_or(true);
+    if *seen == Some(stamp) || is_merging {
         return;
     }
     let table = site.table.clone();
@@ -210,7 +236,7 @@
             if seen.is_some() {
                 info!("partners: this site has {} routes of its own", routes.len());
             }
-            site.lead(|leading, board, now| leading.set_own(board, &routes, now));
+            site.lead(|leading, board, _| leading.set_own(board, &routes));
         }
         Ok(Err(problem)) => {
             error!("partners: own routes stay as they were: {problem}");
@@ -238,10 +264,7 @@
             }
             Ok(Answer::Bytes(bytes)) => {
                 (failed, rounds) = (0, 0);
-                let terms = site.terms[name].clone();
-                let Ok(read) = spawn_blocking(move || terms.read(&bytes)).await else { continue };
-                let fault = site.lead(|leading, board, now| leading.receive(board, name, read, now));
-                let fault = fault.flatten().map(|fault| fault.to_string());
+                let fault = receive(&site, name, bytes).await.map(|fault| fault.to_string());
                 let was_refused = fault.is_some();
                 said(&site, name, fault);
                 sleep(if was_refused { REFUSED } else { BETWEEN }).await;
@@ -263,6 +286,27 @@
     }
 }
 
+/// Has what a partner sent taken beside this thread, and then merged by turns. What is returned is why it is turned down.
+async fn receive(site: &Site, name: &Name, bytes: Bytes) -> Option<Fault> {
+    let lent = loop {
+        match site.lead(|leading, _, now| leading.lend(name, now))? {
+            Some(lent) => break lent,
+            // Its stale table is on its way out.
+            None => site.news().changed().await.ok()?,
+        }
+    };
+    let Ok(received) = spawn_blocking(move || lent.receive(&bytes)).await else {
+        site.lead(|leading, board, _| leading.give_up(board, &site.terms[name]));
+        return None;
+    };
+    let fault = site.lead(|leading, board, now| leading.give_back(board, name, received, now)).flatten();
+    let mut news = site.news();
+    while site.lead(|leading, _, _| leading.is_merging(name))? {
+        news.changed().await.ok()?;
+    }
+    fault
+}
+
 fn unheard(table: &SiteTable, at: SocketAddr, problem: &Failed) -> String {
     let field = if matches!(problem, Failed::TooLong { .. }) { "bytes" } else { "answer" };
     format!("partner {}, {field}: {problem}, at {at}", table.name)
@@ -296,12 +340,12 @@
             continue;
         }
         kept = Instant::now();
-        let (feed, now) = {
+        let (telling, now) = {
             let now = now();
-            (site.inside.borrow().board.feed(None, now.own), now)
+            (site.inside.borrow().board.tell(None, now.own), now)
         };
         let directory = site.table.directory.clone();
-        match spawn_blocking(move || keep::write(&directory, &feed, now.utc)).await {
+        match spawn_blocking(move || keep::write(&directory, &telling.feed(), now.utc)).await {
             Ok(Ok(())) => {}
             Ok(Err(problem)) => warn!("partners: the table is not kept: {problem}"),
             Err(problem) => warn!("partners: the table is not kept: {problem}"),
--- a/src/partners/mod.rs
+++ b/src/partners/mod.rs
@@ -29,3 +29,4 @@
 pub mod route;
 pub mod site;
 pub mod table;
+mod turns;
--- a/src/partners/publish.rs
+++ b/src/partners/publish.rs
@@ -112,9 +112,9 @@
     answer
 }
 
-/// An answer in JSON, written beside the thread that serves.
-async fn json(what: impl Serialize + Send + 'static) -> Answer {
-    match spawn_blocking(move || serde_json::to_vec(&what)).await {
+/// An answer in JSON, made and written beside the thread that serves.
+async fn json<T: Serialize>(make: impl FnOnce() -> T + Send + 'static) -> Answer {
+    match spawn_blocking(move || serde_json::to_vec(&make())).await {
         Ok(Ok(text)) => {
             let mut answer = Response::new(Full::new(Bytes::from(text)));
             answer
@@ -144,7 +144,7 @@
             plain(StatusCode::FORBIDDEN, why)
         }
         (ROUTES, None) => plain(StatusCode::BAD_REQUEST, "for: names nobody"),
-        (SCHEMA, _) => json(table::schema()).await,
+        (SCHEMA, _) => json(table::schema).await,
         (FLEET, None) if site.is_node(from) => node_asks(asked, &site).await,
         (FLEET, _) => plain(StatusCode::FORBIDDEN, format!("{from} is no node of this fleet")),
         _ => plain(StatusCode::NOT_FOUND, "nothing is here"),
@@ -169,7 +169,7 @@
         news.borrow_and_update();
         // The lease is looked at here, where the answer is made.
         let late = match site.told(&partner, asked.after) {
-            Ok(Some(document)) => return json(document).await,
+            Ok(Some(telling)) => return json(|| telling.document()).await,
             Ok(None) => Ok(()),
             Err(why @ NotAnswered::NotSettled) => Err(why),
             Err(why) => return turned_away(&why),
@@ -196,7 +196,7 @@
         // An answer without news says how the partners stand.
         if is_new || timeout_at(until, news.changed()).await.is_err() {
             return match site.feed(asked.after) {
-                Ok(feed) => json(feed).await,
+                Ok(telling) => json(|| telling.feed()).await,
                 Err(why) => turned_away(&why),
             };
         }
--- a/src/partners/site.rs
+++ b/src/partners/site.rs
@@ -11,17 +11,17 @@
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::asking::Feed;
-use super::board::{Board, NotTaken};
-use super::export::{NotTold, Rules};
+use super::board::{self, Board, NotTaken};
+use super::export::{self, NotTold, Rules};
 use super::lead::{Leading, Now};
 use super::lookup::InForce;
 use super::planted::{self, Planted};
 use super::restrict::Sites;
 use super::route::Name;
-use super::table::{Document, Terms, Version};
+use super::table::{Terms, Version};
 use crate::config::{PartnersTable, SiteTable};
 use crate::duty::hold::Held;
 use crate::duty::lease::now_ms;
@@ -100,6 +100,8 @@
     pub(super) in_force: Arc<InForce>,
     pub(super) shown: watch::Sender<Report>,
     pub(super) news: watch::Sender<()>,
+    /// Rung where the holder has something to go on with.
+    pub(super) work: Notify,
     pub(super) changed: Cell<bool>,
     pub(super) shown_at: Cell<u64>,
     pub(super) inside: RefCell<Inside>,
@@ -189,24 +191,28 @@
     ///
     /// # Errors
     /// This node does not hold the duty.
-    pub fn feed(&self, after: Option<Version>) -> Result<Feed, NotAnswered> {
+    pub fn feed(&self, after: Option<Version>) -> Result<board::Telling, NotAnswered> {
         if self.leads().is_none() {
             return Err(self.not_held());
         }
-        Ok(self.inside.borrow().board.feed(after, now().own))
+        Ok(self.inside.borrow().board.tell(after, now().own))
     }
 
     /// What a partner is told that has this version; nothing where it has all.
     ///
     /// # Errors
     /// It may not be told anything here, or not yet.
-    pub fn told(&self, partner: &Name, after: Option<Version>) -> Result<Option<Document>, NotAnswered> {
+    pub fn told(
+        &self,
+        partner: &Name,
+        after: Option<Version>,
+    ) -> Result<Option<export::Telling>, NotAnswered> {
         if self.leads().is_none() {
             return Err(self.not_held());
         }
         let mut inside = self.inside.borrow_mut();
         match &mut inside.leading {
-            Some((leading, _)) if leading.is_settled(now()) => Ok(leading.answer(partner, after)?),
+            Some((leading, _)) if leading.is_settled(now()) => Ok(leading.tell(partner, after)?),
             _ => Err(NotAnswered::NotSettled),
         }
     }
@@ -220,6 +226,9 @@
         let before = board.version();
         let was_settled = leading.is_settled(now());
         let done = act(leading, board, now());
+        if !leading.is_done() {
+            self.work.notify_one();
+        }
         let is_new = board.version() != before || leading.is_settled(now()) != was_settled;
         drop(inside);
         if is_new {
@@ -235,7 +244,7 @@
         self.news.send_replace(());
     }
 
-    /// Shows how it stands; not at each change, as it counts all routes.
+    /// Shows how it stands; not at each change, as there may be many.
     fn show(&self) {
         let now = now();
         if now.own.saturating_sub(self.shown_at.get()) < SHOW_MS {
@@ -251,8 +260,8 @@
                 Some((leading, _)) => leading.stale_for(name, now).unwrap_or(0),
                 None => stand.stale_for(now.own),
             },
-            routes: board.of(name).count(),
-            withheld: board.of(name).filter(|held| held.withdrawn).count(),
+            routes: board.count(name).0,
+            withheld: board.count(name).1,
             waiting: leading.as_ref().map_or((0, 0), |(leading, _)| leading.waiting(name)),
             refused: inside.refused.get(name).cloned(),
         };
--- a/tests/partners_rules.rs
+++ b/tests/partners_rules.rs
@@ -5,7 +5,7 @@
 #[path = "rig/partners.rs"]
 mod slow;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -16,8 +16,10 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use sillflow::partners::admit::Partner;
+use sillflow::partners::board::Board;
 use sillflow::partners::course::{Asked, Course, Next, Tried};
 use sillflow::partners::export::{Aggregate, Exports, MOST_CHANGES, NotTold, Rules};
+use sillflow::partners::lead::{Leading, Now};
 use sillflow::partners::merge::{Change, Held, Merged, Tables, join};
 use sillflow::partners::planted::{Planted, plant};
 use sillflow::partners::restrict::{Restriction, Restrictions, Sites, may_tell};
@@ -368,6 +370,8 @@
 #[case(DRAW, 25)]
 // So many of one class and tenant that they are one list at one time and not at another.
 #[case(Draw { classes: 1, tenants: 1, places: 400, ..DRAW }, 40)]
+// So many classes of one tenant that they are no flat table at one time, and one at another.
+#[case(Draw { classes: 400, tenants: 1, places: 400, ..DRAW }, 60)]
 fn drawn_sets_are_merged_looked_up_and_told_as_by_the_slow_rule(#[case] draw: Draw, #[case] each: usize) {
     for seed in 0..20 {
         let mut rng = rng(seed);
@@ -529,6 +533,43 @@
     assert_eq!((exports.waiting(&to), exports.noted()), ((0, 1), 49));
 }
 
+#[rstest]
+fn a_large_table_holds_up_neither_anothers_changes_nor_what_is_urgent() {
+    const AT: Now = Now { own: NOW, utc: NOW };
+    let terms =
+        |site| (name(site), Terms { bytes: 1 << 30, routes: 10_000, grants: Vec::new(), ..terms(site) });
+    let terms: BTreeMap<Name, Terms> = ["s0", "s1"].map(terms).into();
+    let rules = Rules { own: name("home"), sites: Sites::default(), aggregates: Vec::new() };
+    let mut board = Board::default();
+    let mut leading = Leading::begin(&mut board, "node", 1, rules, &terms, AT).expect("the number");
+    leading.own_stays();
+    let send = |leading: &mut Leading, board: &mut Board, document: Document| {
+        let lent = leading.lend(&document.site, AT).expect("all before is merged");
+        assert!(leading.lend(&document.site, AT).is_none(), "it is lent");
+        let received = lent.receive(&serde_json::to_vec(&document).expect("JSON"));
+        assert_eq!(leading.give_back(board, &document.site, received, AT), None);
+    };
+    let mut other = many("s1", 2);
+    send(&mut leading, &mut board, whole("s0", 1, many("s0", 9_000)));
+    send(&mut leading, &mut board, whole("s1", 1, other.clone()));
+    (0..4).for_each(|_| leading.go_on(&mut board, AT));
+    assert!(board.count(&name("s0")).0 > 0 && leading.is_merging(&name("s0")));
+    assert_eq!(board.count(&name("s1")), (2, 0));
+    assert!(!leading.is_settled(AT), "one table is half merged");
+    other[0] = Arc::new(Route { restrictions: Restrictions::tightest_export(), ..plain("s1", 0) });
+    send(&mut leading, &mut board, whole("s1", 2, other));
+    leading.go_on(&mut board, AT);
+    assert!(board.of(&name("s1")).any(|held| held.route.restrictions.is_for_nobody()));
+    assert!(leading.is_merging(&name("s0")));
+    while !leading.is_done() {
+        leading.go_on(&mut board, AT);
+    }
+    assert_eq!((board.count(&name("s0")), board.count(&name("s1"))), ((9_000, 0), (2, 0)));
+    assert!(leading.is_settled(AT));
+    let told = leading.tell(&name("s1"), None).expect("a partner").expect("all").document();
+    assert_eq!((told.routes.len(), told.count), (9_000, 9_000));
+}
+
 #[rstest]
 fn what_was_never_told_leaves_no_trace_and_what_was_lost_on_the_way_is_told_again() {
     let (mut merged, mut exports, all) = told_home(3);
