--- a/benches/partners/path.rs
+++ b/benches/partners/path.rs
@@ -110,14 +110,14 @@
 /// Writes a table for each partner, the first of which serves what no other does; the operator's table for them.
 fn write_tables(folder: &Path, server: SocketAddr) -> String {
     let mut rng = SmallRng::seed_from_u64(27);
-    let mut tables = "[partners]\nsite = \"home\"\n".to_owned();
+    let mut tables = "[routes]\nsite = \"home\"\n".to_owned();
     for partner in 0..PARTNERS {
         let site = format!("site-{partner}");
         let mut offers: Vec<Offer> = (1..ROUTES / PARTNERS).map(|_| offer(&mut rng, partner)).collect();
         offers.push(Offer::new(&site, &[server], 1));
         let file = folder.join(&site);
         std::fs::write(&file, document(&site, &offers).to_string()).expect("a file");
-        tables += &format!("[[partners.routes]]\npartner = {site:?}\nfile = {file:?}\n");
+        tables += &format!("[[routes.files]]\nof = {site:?}\nfile = {file:?}\n");
     }
     tables
 }
