--- a/src/copies/holder.rs
+++ b/src/copies/holder.rs
@@ -100,9 +100,10 @@
         }
     }
 
-    /// Turns to the holders of another view, of this number. Keys of slots that this node holds no more are dropped: all those to come
-    /// have them. What it held in another life is not its own any more, and is dropped as well. While it does not
-    /// belong it answers nothing and drops nothing, nor behind a restart by a view from before the one that it held by.
+    /// Turns to the holders of another view, of this number. Keys of slots that this node holds no more are dropped: all
+    /// those to come have them. What it held in another life is not its own any more, and is dropped as well. While it
+    /// does not belong it answers nothing and drops nothing, nor behind a restart by a view from before the one that it
+    /// held by.
     pub fn turn_to(&mut self, me: Option<u64>, number: u64, slots: &Slots) {
         if number < self.level {
             self.duties.clear();
--- a/src/duty/hold.rs
+++ b/src/duty/hold.rs
@@ -567,8 +567,12 @@
                         // It counts as cold until it has renewed: it has heard that its session began.
                         self.next(Duration::ZERO);
                     }
-                    other => {
-                        warn!("duties: no session is begun: {other:?}");
+                    told => {
+                        // A store that cannot be reached is asked again and again.
+                        match told {
+                            Ok(refused) => warn!("duties: no session is begun: {refused:?}"),
+                            Err(problem) => debug!("duties: no session is begun: {problem}"),
+                        }
                         self.next(AGAIN.min(self.every()));
                     }
                 }
