--- a/src/back/records/sites.rs
+++ b/src/back/records/sites.rs
@@ -18,10 +18,10 @@
 use crate::partners::course::{Asked, Course, Next, Tried};
 use crate::partners::lookup::InForce;
 use crate::partners::merge::Held;
-use crate::partners::planted::{self, Planted};
 use crate::partners::rest::{Standing, Turn};
 use crate::partners::route::{Name, Route};
 use crate::peers::{Leg, Routes};
+use crate::planted::{self, Planted};
 use crate::route::{Kind, Options, ServerId, Spec};
 
 /// Pools that are kept at the most: one for each set of servers of a site that calls go to. The one that was not used for
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! What is promised stands in `docs/design-duties.md`. `lease`, `table`, `assign`, `own` and `fence` decide, without I/O but
 //! for the guard's file; `pass` is what a node's next process gets; `hold` has the tasks, `ask` their way to the
-//! store.
+//! store, `vouch` the way of those who are told of a holder.
 
 mod ask;
 pub mod assign;
@@ -14,6 +14,7 @@
 pub mod own;
 pub mod pass;
 pub mod table;
+pub mod vouch;
 
 use std::fmt;
 
@@ -22,6 +23,7 @@
 
 pub use fence::{Fence, Guard, Stale};
 pub use hold::{Held, Lost};
+pub use vouch::{Vouched, Voucher};
 
 /// Bytes of a duty's name at the most.
 pub const MOST_NAME: usize = 128;
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -647,7 +647,11 @@
             }
             // The next renewal would tell it as well.
             Ok(Packet::Duties) if self.is_neighbour(from) => self.ring_duties(None),
-            Ok(Packet::Granted(grants)) if self.is_neighbour(from) => self.ring_duties(Some(*grants)),
+            // What is granted is the word of a member of the store alone; of others, that there may be news.
+            Ok(Packet::Granted(grants)) if self.is_neighbour(from) => {
+                let is_members = self.store.members.iter().any(|member| member.ip() == from.ip());
+                self.ring_duties(is_members.then_some(*grants));
+            }
             Ok(Packet::Whole { number, from: node }) if self.is_neighbour(from) => {
                 let now = self.now();
                 if let Some(copying) = &mut self.copying {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod partners;
 pub mod peers;
+pub mod planted;
 pub mod route;
 pub mod store;
 mod validate;
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,7 +21,7 @@
 use crate::copies::News;
 use crate::copies::slots::Terms;
 use crate::duty::pass::Passed;
-use crate::duty::{DutyName, Held, beat, hold};
+use crate::duty::{DutyName, Held, Voucher, beat, hold};
 use crate::exchange::{self, Copying, Handed, Handle, Input};
 use crate::fleet;
 use crate::fleet::copying::Part;
@@ -194,10 +194,11 @@
 ) -> Option<Given> {
     let (table, shown) = config.operator.partners.clone().zip(shown)?;
     let duty = DutyName::new(table.duty.clone()).ok()?;
-    let from = config.operator.fleet.as_ref()?.listen.ip();
+    let fleet = config.operator.fleet.as_ref()?;
+    let (from, members) = (fleet.listen.ip(), fleet.store.clone());
     let (give, given) = oneshot::channel();
     let (name, view, alone) = (config.name.clone(), view.clone(), alone.clone());
-    match live::start(live::Options { name, table, from, view, alone, given, in_force, shown }) {
+    match live::start(live::Options { name, table, from, members, view, alone, given, in_force, shown }) {
         Ok(()) => Some((duty, give)),
         Err(problem) => {
             error!("this node has no part in partners' routes: {problem}");
@@ -274,6 +275,7 @@
             name: name.clone(),
             zone: fleet.zone.clone(),
             listen: SocketAddr::new(fleet.listen.ip(), table.port),
+            voucher: Voucher { duty: duty.clone(), members: fleet.store.clone(), from: fleet.listen.ip() },
             file: table.file.clone().or_else(in_directory),
             terms: agreed,
             routes: in_force,
--- a/src/partners/admit.rs
+++ b/src/partners/admit.rs
@@ -5,10 +5,10 @@
 
 use super::crowd::{Crowd, MOST_FORMS, MOST_IN_CELL};
 use super::merge::{Change, Held};
-use super::planted::{self, Planted};
 use super::restrict::Restrictions;
 use super::route::{Name, Route};
 use super::table::{Document, Refused, Table, Terms, Version};
+use crate::planted::{self, Planted};
 
 /// Penalties of a route that flaps, halved each `HALF_LIFE_MS`, in the manner of RFC 2439: one for each change.
 const PENALTY: f64 = 1000.0;
--- a/src/partners/board.rs
+++ b/src/partners/board.rs
@@ -8,9 +8,9 @@
 
 use super::asking::{Feed, Line, Told};
 use super::merge::{Change, Held, Merged, Superseded};
-use super::planted::{self, Planted};
 use super::route::{Match, Name};
 use super::table::{Document, Terms, Version};
+use crate::planted::{self, Planted};
 
 /// Versions whose differences are at hand; who is further behind is told all.
 const MOST_VERSIONS: usize = 1024;
--- a/src/partners/capacity.rs
+++ b/src/partners/capacity.rs
@@ -4,8 +4,8 @@
 
 use foldhash::fast::RandomState;
 
-use super::planted::{self, Planted};
 use super::route::Name;
+use crate::planted::{self, Planted};
 
 /// The part of a second's requests that may come at once.
 const AT_ONCE: f64 = 0.1;
--- a/src/partners/course.rs
+++ b/src/partners/course.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use super::merge::{Held, Merged};
-use super::planted::{self, Planted};
 use super::route::{Name, Request, Subjects};
+use crate::planted::{self, Planted};
 
 /// A request, as far as it is known.
 #[derive(Clone, Copy, Debug)]
--- a/src/partners/export.rs
+++ b/src/partners/export.rs
@@ -10,10 +10,10 @@
 use super::pending::{Key, Keys, Pending, Place, Waiting};
 
 use super::merge::{Held, Merged};
-use super::planted::{self, Planted};
 use super::restrict::{Restrictions, Sites, may_tell};
 use super::route::{MOST_PATH, MOST_SERVERS, Match, Name, Route};
 use super::table::{Document, MOST_THROUGH, Version};
+use crate::planted::{self, Planted};
 
 /// Routes in one document of differences.
 pub const MOST_CHANGES: usize = 1000;
--- a/src/partners/follow.rs
+++ b/src/partners/follow.rs
@@ -30,7 +30,7 @@
     let mut line = Line::new(site.from);
     let (mut rounds, mut whole, mut silent) = (0, false, None);
     loop {
-        if site.inside.borrow().leading.is_some() {
+        if site.inside.borrow().leads() {
             sleep(LOOK).await;
             continue;
         }
@@ -53,7 +53,15 @@
                 warn!("partners: what {address} tells is no merged table");
                 continue;
             };
-            match site.take(feed, address) {
+            if let Err(why) = check(&site, &view, &feed, address).await {
+                let Feed { by, version, .. } = &feed;
+                warn!(
+                    "partners: {address} tells as {by} under number {}, which is not followed: {why}",
+                    version.term
+                );
+                continue;
+            }
+            match site.take(feed, address).await {
                 Ok(()) => (found, whole) = (true, false),
                 Err(NotTaken::Gap(_)) => (found, whole) = (true, true),
                 Err(below) => {
@@ -71,6 +79,16 @@
     }
 }
 
+/// Whether what is told is the holder's: it comes from the address that the view has for that node, and the store vouches
+/// for its number.
+async fn check(site: &Site, view: &watch::Receiver<View>, feed: &Feed, at: SocketAddr) -> Result<(), String> {
+    let known = view.borrow().get(&feed.by).is_some_and(|node| node.applicant.address.ip() == at.ip());
+    if !known {
+        return Err("that node is at another address".to_owned());
+    }
+    site.vouch(&feed.by, feed.version.term).await
+}
+
 /// Whom to ask for the merged table: the one that told it last, or some of the nodes.
 fn to_ask(site: &Site, view: &watch::Receiver<View>, silent: Option<SocketAddr>) -> Vec<SocketAddr> {
     if let Some(holder) = site.inside.borrow().holder {
--- a/src/partners/lead.rs
+++ b/src/partners/lead.rs
@@ -8,10 +8,10 @@
 use super::board::{Board, Stand};
 use super::export::{Exports, MOST_CHANGES, NotTold, Rules, Telling};
 use super::merge::{Change, Held, Superseded};
-use super::planted::{self, Planted};
 use super::route::{Match, Name, Route};
 use super::table::{Document, Fault, Refused, Terms, Version};
 use super::turns::{Batch, Turns};
+use crate::planted::{self, Planted};
 
 /// A new holder tells partners nothing until it has heard all of them, or for so long, in ms.
 pub const SETTLE_MS: u64 = 1000;
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -21,15 +21,15 @@
 use super::fetch::{Answer, Failed, Line, pause};
 use super::follow::follow;
 use super::lookup::InForce;
-use super::planted::{self, Planted};
 use super::route::Name;
 use super::site::{Inside, Site, now};
 use super::table::Fault;
 use super::{keep, publish};
 use crate::config::{PartnersTable, SiteTable};
-use crate::duty::Guard;
 use crate::duty::hold::Held;
+use crate::duty::{DutyName, Guard, Voucher};
 use crate::fleet::view::View;
+use crate::planted::{self, Planted};
 
 pub use super::site::{Report, Shown};
 
@@ -60,6 +60,8 @@
     pub table: PartnersTable,
     /// The address that it asks from.
     pub from: IpAddr,
+    /// Members of the store, which vouch for the holder.
+    pub members: Vec<SocketAddr>,
     /// The view, with the other nodes.
     pub view: watch::Receiver<View>,
     /// Whether this process is the node's only one.
@@ -78,7 +80,6 @@
 /// The thread cannot be started. Anything later is logged.
 pub fn start(options: Options) -> io::Result<()> {
     std::thread::Builder::new().name("partners".to_owned()).spawn(move || {
-        planted::plant_from_env();
         let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
             Ok(runtime) => runtime,
             Err(problem) => return error!("this node has no part in partners' routes: {problem}"),
@@ -93,7 +94,7 @@
 }
 
 async fn run(options: Options) -> io::Result<()> {
-    let Options { name, table, from, view, mut alone, given, in_force, shown } = options;
+    let Options { name, table, from, members, view, mut alone, given, in_force, shown } = options;
     if alone.wait_for(|alone| *alone).await.is_err() {
         return Ok(());
     }
@@ -117,16 +118,19 @@
     let inside = Inside {
         board,
         leading: None,
+        begins: false,
         guard,
         refused: BTreeMap::new(),
         asking: BTreeMap::new(),
         holder: None,
         heard: now.own,
     };
+    let duty = DutyName::new(table.duty.clone()).map_err(io::Error::other)?;
     let site = Rc::new(Site {
         name,
         terms,
         from,
+        voucher: Voucher { duty, members, from },
         in_force,
         shown,
         news: watch::channel(()).0,
@@ -154,7 +158,7 @@
 async fn hold(site: Rc<Site>, mut given: mpsc::Receiver<Held>) {
     while let Some(held) = given.recv().await {
         let held = Rc::new(held);
-        if !site.begin(&held) {
+        if !site.begin(&held).await {
             continue;
         }
         let mut asking = JoinSet::new();
--- a/src/partners/mod.rs
+++ b/src/partners/mod.rs
@@ -21,7 +21,6 @@
 pub mod merge;
 mod pending;
 #[doc(hidden)]
-pub mod planted;
 pub mod publish;
 mod ranges;
 pub mod rest;
--- a/src/partners/ranges.rs
+++ b/src/partners/ranges.rs
@@ -172,47 +172,58 @@
 
 /// Routes by their ranges of subjects. A clone is a snapshot.
 #[derive(Clone, Debug)]
-pub(super) struct Ranges(Node);
+pub(super) struct Ranges {
+    root: Node,
+    /// From the first subject in any of them to the last: one beyond both is looked for in none.
+    bounds: Subjects,
+}
+
+/// No subject is within these.
+const NONE: Subjects = Subjects { first: u64::MAX, last: 0 };
 
 impl Default for Ranges {
     fn default() -> Self {
-        Self(Node::leaf(Vec::new()))
+        Self { root: Node::leaf(Vec::new()), bounds: NONE }
     }
 }
 
 impl Ranges {
     pub(super) fn is_empty(&self) -> bool {
-        self.0.len() == 0
+        self.root.len() == 0
     }
 
     /// The routes for just these subjects.
     pub(super) fn get(&self, subjects: Subjects) -> Option<&Arc<[Held]>> {
-        self.0.get(subjects)
+        self.root.get(subjects)
     }
 
     /// Has these routes for just these subjects, or none; whether there were any before.
     pub(super) fn put(&mut self, subjects: Subjects, held: Option<Arc<[Held]>>) -> bool {
         let before = self.get(subjects).is_some();
-        let mut nodes = self.0.with(subjects, held);
-        self.0 = match nodes.len() {
+        let mut nodes = self.root.with(subjects, held);
+        self.root = match nodes.len() {
             0 => Node::leaf(Vec::new()),
             1 => nodes.remove(0),
             _ => Node::Branch(nodes.into_iter().filter_map(Child::of).collect()),
         };
-        while let Node::Branch(children) = &self.0
+        while let Node::Branch(children) = &self.root
             && let [only] = children.as_ref()
         {
-            self.0 = only.node.clone();
+            self.root = only.node.clone();
         }
+        let whole = Child::of(self.root.clone());
+        self.bounds = whole.map_or(NONE, |whole| Subjects { first: whole.least.first, last: whole.last });
         before
     }
 
     /// Those with a subject in them, the narrowest first.
     pub(super) fn found(&self, subject: u64) -> impl Iterator<Item = &Ranged> {
-        let mut than = None;
+        let (within, mut than) = (self.bounds.contains(subject), None);
         std::iter::from_fn(move || {
             let mut found = None;
-            self.0.narrowest(subject, than, &mut found);
+            if within {
+                self.root.narrowest(subject, than, &mut found);
+            }
             than = found.map(Ranged::rank);
             found
         })
@@ -220,6 +231,6 @@
 
     /// Looks at all.
     pub(super) fn each<'a>(&'a self, what: &mut impl FnMut(&'a Ranged)) {
-        self.0.each(what);
+        self.root.each(what);
     }
 }
--- a/src/partners/restrict.rs
+++ b/src/partners/restrict.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use thiserror::Error;
 
-use super::planted::{self, Planted};
 use super::route::{Name, Route};
+use crate::planted::{self, Planted};
 
 /// Clauses and names that one route may carry, each; with more it is told to nobody.
 pub const MOST_CLAUSES: usize = 16;
--- a/src/partners/site.rs
+++ b/src/partners/site.rs
@@ -8,24 +8,25 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use log::{info, warn};
+use log::{error, info, warn};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
+use tokio::task::spawn_blocking;
 
 use super::asking::Feed;
 use super::board::{self, Board, NotTaken};
 use super::export::{self, NotTold, Rules};
 use super::lead::{Leading, Now};
 use super::lookup::InForce;
-use super::planted::{self, Planted};
 use super::restrict::Sites;
 use super::route::Name;
 use super::table::{Terms, Version};
 use crate::config::{PartnersTable, SiteTable};
 use crate::duty::hold::Held;
 use crate::duty::lease::now_ms;
-use crate::duty::{Fence, Guard};
+use crate::duty::{Fence, Guard, Vouched, Voucher};
+use crate::planted::{self, Planted};
 
 /// How often it is shown how the node stands, in ms.
 const SHOW_MS: u64 = 300;
@@ -83,6 +84,8 @@
 pub(super) struct Inside {
     pub(super) board: Board,
     pub(super) leading: Option<(Leading, Rc<Held>)>,
+    /// Whether it begins to lead: until then the board stays as it is.
+    pub(super) begins: bool,
     pub(super) guard: Guard,
     pub(super) refused: BTreeMap<Name, String>,
     pub(super) asking: BTreeMap<Name, usize>,
@@ -91,12 +94,35 @@
     pub(super) heard: u64,
 }
 
+impl Inside {
+    /// Whether this node holds the duty, or begins to.
+    pub(super) fn leads(&self) -> bool {
+        self.begins || self.leading.is_some()
+    }
+}
+
+/// Takes what the holder tells, and drops what has been stale for its time; whether the table is another one.
+fn take_in(board: &mut Board, feed: Feed, terms: &BTreeMap<Name, Terms>) -> Result<bool, NotTaken> {
+    let now = now().own;
+    let taken = board.take(feed, now);
+    let dropped = board.tick(terms, now);
+    Ok(taken? || dropped)
+}
+
+/// The same with a copy.
+fn with(mut board: Board, feed: Feed, terms: &BTreeMap<Name, Terms>) -> (Board, Result<bool, NotTaken>) {
+    let taken = take_in(&mut board, feed, terms);
+    (board, taken)
+}
+
 /// The part of one node, shared by its tasks on one thread.
 pub struct Site {
     pub(super) name: String,
     pub(super) table: PartnersTable,
     pub(super) terms: BTreeMap<Name, Terms>,
     pub(super) from: IpAddr,
+    /// Asks the store whether who says that it holds the duty does.
+    pub(super) voucher: Voucher,
     pub(super) in_force: Arc<InForce>,
     pub(super) shown: watch::Sender<Report>,
     pub(super) news: watch::Sender<()>,
@@ -284,7 +310,7 @@
         if led.is_none() {
             let mut inside = self.inside.borrow_mut();
             // Whoever has lost the duty and has not noticed yet says nothing; it follows soon.
-            let dropped = inside.leading.is_none() && inside.board.tick(&self.terms, now().own);
+            let dropped = !inside.leads() && inside.board.tick(&self.terms, now().own);
             drop(inside);
             if dropped {
                 warn!("partners: tables that were not heard for their time are dropped");
@@ -296,24 +322,60 @@
         self.show();
     }
 
-    /// A node follows what the holder tells.
-    pub(super) fn take(&self, feed: Feed, at: SocketAddr) -> Result<(), NotTaken> {
-        let mut inside = self.inside.borrow_mut();
-        if inside.leading.is_some() {
+    /// Whether a node holds the duty under a number. The store is asked about a holder that this node does not follow yet:
+    /// a number that somebody has made up would shut out all others for ever.
+    ///
+    /// # Errors
+    /// It does not, or that is not known; why.
+    pub(super) async fn vouch(&self, by: &str, number: u64) -> Result<(), String> {
+        let known = {
+            let inside = self.inside.borrow();
+            let seen = inside.board.version().term;
+            // What is below is turned down in any case.
+            number < seen || number == seen && inside.board.by() == by
+        };
+        if known {
             return Ok(());
         }
-        let (before, by) = (inside.board.version(), inside.board.by().to_owned());
-        if feed.version.term > before.term && !self.admit(&mut inside, feed.version.term) {
-            return Ok(());
+        match self.voucher.ask(number, by).await? {
+            Vouched::Holds => Ok(()),
+            Vouched::Not => Err("the store says that it does not".to_owned()),
+            Vouched::Unknown => Err("the store has given no such number".to_owned()),
         }
-        let now = now();
-        let taken = inside.board.take(feed, now.own);
-        let dropped = inside.board.tick(&self.terms, now.own);
-        inside.heard = now.own;
+    }
+
+    /// A node follows what the holder tells. All of a table is taken beside the thread, from a copy of the board.
+    pub(super) async fn take(&self, feed: Feed, at: SocketAddr) -> Result<(), NotTaken> {
+        let (before, by) = {
+            let mut inside = self.inside.borrow_mut();
+            let before = inside.board.version();
+            let new = feed.version.term > before.term;
+            if inside.leads() || new && !self.admit(&mut inside, feed.version.term) {
+                return Ok(());
+            }
+            (before, inside.board.by().to_owned())
+        };
+        let taken = if feed.from.is_none() {
+            let (board, terms) = (self.inside.borrow().board.clone(), self.terms.clone());
+            let Ok((board, taken)) = spawn_blocking(move || with(board, feed, &terms)).await else {
+                return Ok(());
+            };
+            let mut inside = self.inside.borrow_mut();
+            // The duty has come meanwhile, or tables have been dropped: it is asked for again.
+            if inside.leads() || inside.board.version() != before {
+                return Ok(());
+            }
+            inside.board = board;
+            taken
+        } else {
+            take_in(&mut self.inside.borrow_mut().board, feed, &self.terms)
+        };
+        let mut inside = self.inside.borrow_mut();
+        inside.heard = now().own;
         inside.holder = Some(at);
         let (version, holder) = (inside.board.version(), inside.board.by().to_owned());
         drop(inside);
-        if taken? || dropped || version != before {
+        if taken? || version != before {
             if holder != by || version.term != before.term {
                 info!("partners: {holder} tells the merged table, under number {}", version.term);
             }
@@ -332,29 +394,44 @@
         admitted.is_ok()
     }
 
-    /// Begins to hold the duty.
-    pub(super) fn begin(&self, held: &Rc<Held>) -> bool {
+    /// Begins to hold the duty: beside the thread, from a copy of the board, which nobody changes meanwhile.
+    pub(super) async fn begin(&self, held: &Rc<Held>) -> bool {
         let Fence { number, .. } = *held.fence();
         let rules = Rules {
             own: self.table.site.clone(),
             sites: Sites::new(self.table.groups.clone()),
             aggregates: self.table.wider(),
         };
+        let (mut board, terms, name) = {
+            let mut inside = self.inside.borrow_mut();
+            if !self.admit(&mut inside, number) {
+                return false;
+            }
+            inside.begins = true;
+            (inside.board.clone(), self.terms.clone(), self.name.clone())
+        };
+        let begun = spawn_blocking(move || {
+            let begun = Leading::begin(&mut board, &name, number, rules, &terms, now());
+            (begun, board)
+        });
+        let begun = begun.await;
         let mut inside = self.inside.borrow_mut();
-        if !self.admit(&mut inside, number) {
-            return false;
-        }
-        let Inside { board, leading, refused, holder, .. } = &mut *inside;
-        match Leading::begin(board, &self.name, number, rules, &self.terms, now()) {
-            Ok(begun) => {
-                *leading = Some((begun, held.clone()));
-                refused.clear();
-                *holder = None;
+        inside.begins = false;
+        match begun {
+            Ok((Ok(leading), board)) => {
+                inside.board = board;
+                inside.leading = Some((leading, held.clone()));
+                inside.refused.clear();
+                inside.holder = None;
             }
-            Err(superseded) => {
+            Ok((Err(superseded), _)) => {
                 warn!("partners: the duty is given back: {superseded}");
                 return false;
             }
+            Err(problem) => {
+                error!("partners: the duty is given back: {problem}");
+                return false;
+            }
         }
         drop(inside);
         info!(
--- a/src/partners/planted.rs
+++ b/src/planted.rs
@@ -1,6 +1,7 @@
 //! Errors that tests plant to see that checkers find them. Builds without debug assertions have none.
 
 use std::cell::Cell;
+use std::sync::LazyLock;
 
 /// What is done wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,35 +38,39 @@
     NoBudget,
     /// A route's capacity is not counted.
     NoCapacity,
+    /// A node is believed that it holds a duty, without the store's word.
+    HolderUnproved,
+    /// The next one that counts votes goes on from whatever list one node tells.
+    ListUnproved,
 }
 
 thread_local! {
     static NOW: Cell<Option<Planted>> = const { Cell::new(None) };
 }
 
+/// The error that the environment names, for processes that a test starts.
+static OF_PROCESS: LazyLock<Option<Planted>> = LazyLock::new(|| {
+    let named = std::env::var("SILLFLOW_PLANTED").ok()?;
+    let of_processes = [
+        Planted::StaleForEver,
+        Planted::WithdrawalWaits,
+        Planted::LoopIsTold,
+        Planted::NotDecreased,
+        Planted::LowerIsTaken,
+        Planted::ToldUnheard,
+        Planted::AnswersUnheld,
+        Planted::RefusedForgotten,
+        Planted::HolderUnproved,
+        Planted::ListUnproved,
+    ];
+    of_processes.into_iter().find(|planted| format!("{planted:?}") == named)
+});
+
 /// Plants an error in all that this thread does from now on, or none.
 pub fn plant(planted: Option<Planted>) {
     NOW.set(planted);
 }
 
 pub(crate) fn is(planted: Planted) -> bool {
-    cfg!(debug_assertions) && NOW.get() == Some(planted)
-}
-
-/// Plants the error that the environment names, for processes that a test starts.
-pub fn plant_from_env() {
-    if cfg!(debug_assertions) {
-        let named = std::env::var("SILLFLOW_PLANTED").unwrap_or_default();
-        let of_processes = [
-            Planted::StaleForEver,
-            Planted::WithdrawalWaits,
-            Planted::LoopIsTold,
-            Planted::NotDecreased,
-            Planted::LowerIsTaken,
-            Planted::ToldUnheard,
-            Planted::AnswersUnheld,
-            Planted::RefusedForgotten,
-        ];
-        plant(of_processes.into_iter().find(|planted| format!("{planted:?}") == named));
-    }
+    cfg!(debug_assertions) && (NOW.get() == Some(planted) || *OF_PROCESS == Some(planted))
 }
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -14,7 +14,7 @@
 
 use crate::config::StoreOptions;
 
-use crate::duty::table as duty;
+use crate::duty::{DutyName, table as duty};
 use crate::fleet::view as fleet;
 
 use super::decide::members::{Limits, Place};
@@ -174,6 +174,7 @@
                 Answer::Contents { entries: self.contents.borrow().under(&prefix), truth }
             }
             Query::View { since } => self.view_since(since),
+            Query::Holds { duty, number, node } => self.vouch(&duty, number, &node),
             query => self.try_all(query).await,
         }
     }
@@ -201,6 +202,11 @@
         }
     }
 
+    /// Whether a node holds a duty under a number, as this member has it.
+    fn vouch(&self, duty: &DutyName, number: u64, node: &str) -> Answer {
+        Answer::Holds(self.contents.borrow().duties().vouch(duty, number, node))
+    }
+
     async fn try_all(&self, query: Query) -> Answer {
         let until = Instant::now() + TRIES;
         let ticket = self.ticket();
@@ -298,6 +304,7 @@
             Query::Fleet(change) => self.change_fleet(change.clone(), ticket).await,
             Query::View { since } => Tried::Answered(self.view_since(*since)),
             Query::Duty(deed) => self.change_duties(deed, ticket).await,
+            Query::Holds { duty, number, node } => Tried::Answered(self.vouch(duty, *number, node)),
             Query::Duties { session } => {
                 Tried::Answered(Answer::Duties(self.contents.borrow().duties().grants(*session)))
             }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -32,7 +32,7 @@
 use tokio::sync::watch;
 
 use crate::config::StoreOptions;
-use crate::duty::table as duty;
+use crate::duty::{DutyName, Vouched, table as duty};
 use crate::fleet::view as fleet;
 use decide::members::Place;
 use enter::{End, Session};
@@ -131,6 +131,15 @@
     },
     /// An operator's wish.
     Wish(Wish),
+    /// Whether a node holds a duty under a number, as this member has it.
+    Holds {
+        /// The duty.
+        duty: DutyName,
+        /// The number.
+        number: u64,
+        /// The node's name.
+        node: String,
+    },
 }
 
 /// A change of members that an operator wishes, by the numbers of the members.
@@ -206,6 +215,8 @@
     Unsure(String),
     /// It cannot be done.
     Failed(String),
+    /// To a question whether a node holds a duty.
+    Holds(Vouched),
 }
 
 /// What a member is for.
--- a/src/verdict/door.rs
+++ b/src/verdict/door.rs
@@ -49,7 +49,7 @@
     send(&mut stream, &answer).await
 }
 
-fn answer(seat: &Seat, from: SocketAddr, said: Said) -> Answer {
+fn answer(seat: &Rc<Seat>, from: SocketAddr, said: Said) -> Answer {
     // Machine and zone are those of the view, and the name is believed from its address alone.
     let known = seat.node(&said.from).filter(|node| node.applicant.address.ip() == from.ip());
     let Some(node) = known else {
@@ -57,10 +57,13 @@
         return Answer::Refused(format!("{} does not belong to the fleet at {}", said.from, from.ip()));
     };
     match said.what {
-        What::Holds { fence, best } => match seat.hear_of(Holder { fence, name: node.applicant.name }) {
-            Ok(()) => Answer::Known(seat.list_above(best)),
-            Err(seen) => Answer::Passed(seen),
-        },
+        What::Holds { fence, best } => {
+            let name = node.applicant.name;
+            match seat.hear_of(&name, Holder { fence, name: name.clone() }) {
+                Ok(()) => Answer::Known(seat.list_above(best)),
+                Err(seen) => Answer::Passed(seen),
+            }
+        }
         What::Evidence { evidence, trials, have } => {
             let vote = Vote { voter: voter(&node), life: said.life, evidence, trials };
             count(seat, &vote, have)
--- a/src/verdict/holder.rs
+++ b/src/verdict/holder.rs
@@ -14,10 +14,11 @@
 use super::count::Scope;
 use super::evidence::{EvidenceError, SLOT_MS};
 use super::holding::{Changes, Holding, Vote};
+use super::latest::Latest;
 use super::list::{List, Listed, Number, Stage, Why};
 use super::part::{Evident, Report, Seat};
 use super::routes::Routed;
-use super::wire::{Answer, Said, What, say};
+use super::wire::{Answer, Holder, Said, What, say};
 use crate::duty::{Held, Lost};
 
 /// How long the latest list is asked for at the most, before the one that is known is taken up.
@@ -93,6 +94,8 @@
 /// Counts until the duty is to be handed on.
 async fn count(seat: &Rc<Seat>, held: &Rc<Held>) -> Result<(), Lost> {
     let fence = held.check()?.number;
+    // The duty itself vouches for this node.
+    seat.go_by(Holder { fence, name: seat.options.name.clone() });
     let last = gather(seat, held).await;
     held.check()?;
     let told = last.as_ref().map(|list| (list.number.fence, list.number.sequence, list.entries.len()));
@@ -136,6 +139,8 @@
 
 /// Says to every node that was not heard lately who counts, again and again.
 async fn announce(seat: &Rc<Seat>, held: &Held) {
+    // No list is asked for: this one's own is the latest.
+    let above = Number { fence: held.fence().number, sequence: u64::MAX };
     loop {
         let (every, within) = seat.period();
         sleep(Duration::from_secs_f64(every / 1000.0)).await;
@@ -144,55 +149,65 @@
             let counting = seat.counting.borrow();
             counting.as_ref().is_some_and(|counting| counting.holding.hears(now, name, within))
         };
-        let silent = seat.names().into_iter().filter(|name| !heard(name)).collect();
-        claim(seat, held, silent, None, None).await;
+        let mut silent: VecDeque<String> = seat.names().into_iter().filter(|name| !heard(name)).collect();
+        let mut asked = JoinSet::new();
+        let until = Instant::now() + GATHER;
+        loop {
+            claim(&mut asked, &mut silent, seat, held, above);
+            if !matches!(timeout_at(until, asked.join_next()).await, Ok(Some(_))) {
+                break;
+            }
+        }
     }
 }
 
-/// The latest list of all nodes that answer. Where the one before has told its number, no longer than until it is found.
+/// The latest list, of those that nodes have. Where the one before has told its number, no longer than until that is found.
 async fn gather(seat: &Rc<Seat>, held: &Held) -> Option<List> {
     let handed: Option<Number> = serde_json::from_slice(held.state()).ok();
     let own = seat.list_above(Number::default());
-    claim(seat, held, seat.names(), own, Some((Instant::now() + GATHER, handed))).await
-}
-
-/// Says to these who counts, and returns the highest list that is known then.
-async fn claim(
-    seat: &Rc<Seat>,
-    held: &Held,
-    names: Vec<String>,
-    mut best: Option<List>,
-    gathers: Option<(Instant, Option<Number>)>,
-) -> Option<List> {
-    let mut names = VecDeque::from(names);
+    let mut latest = Latest::new(held.fence().number, seat.liars(), own);
+    let mut left = VecDeque::from(seat.names());
     let mut asked = JoinSet::new();
-    let until = gathers.map_or(Instant::now() + GATHER, |(until, _)| until);
-    let wanted = gathers.and_then(|(_, handed)| handed);
+    let until = Instant::now() + GATHER;
     loop {
-        while asked.len() < AT_ONCE
-            && let Ok(fence) = held.check()
-            && let Some(name) = names.pop_front()
-        {
-            let above = best.as_ref().map_or(Number::default(), |list| list.number);
-            asked.spawn_local(tell_one(seat.clone(), fence.number, name, above));
+        claim(&mut asked, &mut left, seat, held, latest.number());
+        if left.is_empty() && handed.is_some_and(|handed| latest.number() >= handed) {
+            break;
         }
-        let enough = wanted.is_some_and(|number| best.as_ref().is_some_and(|list| list.number >= number));
         match timeout_at(until, asked.join_next()).await {
-            Ok(Some(Ok(Some(list)))) if best.as_ref().is_none_or(|best| list.number > best.number) => {
-                best = Some(list);
-            }
-            Ok(Some(_)) if !(enough && names.is_empty()) => {}
-            _ => return best,
+            Ok(Some(Ok(Some((machine, list))))) => latest.hear(&machine, list),
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => break,
         }
     }
+    latest.found().cloned()
+}
+
+/// A list that a node has, and its machine.
+type Told = Option<(String, List)>;
+
+/// Says to some more of these who counts, as long as that is this node, and asks them for a list above this number.
+fn claim(
+    asked: &mut JoinSet<Told>,
+    names: &mut VecDeque<String>,
+    seat: &Rc<Seat>,
+    held: &Held,
+    above: Number,
+) {
+    while asked.len() < AT_ONCE
+        && let Ok(fence) = held.check()
+        && let Some(name) = names.pop_front()
+    {
+        asked.spawn_local(tell_one(seat.clone(), fence.number, name, above));
+    }
 }
 
 /// Says to one who counts; the list that it has, where that is a higher one.
-async fn tell_one(seat: Rc<Seat>, fence: u64, name: String, best: Number) -> Option<List> {
+async fn tell_one(seat: Rc<Seat>, fence: u64, name: String, best: Number) -> Told {
     let node = seat.node(&name)?;
     let said = Said { from: seat.options.name.clone(), life: seat.life, what: What::Holds { fence, best } };
     match say(seat.address_of(&node), seat.from(), &said).await {
-        Ok(Answer::Known(list)) => list,
+        Ok(Answer::Known(list)) => Some((node.applicant.machine, list?)),
         Ok(Answer::Passed(seen)) => {
             warn!("verdicts: {name} has seen number {seen}, past {fence}");
             None
--- a/src/verdict/mod.rs
+++ b/src/verdict/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod asking;
 pub mod cap;
+pub mod claims;
 pub mod count;
 mod door;
 pub mod evidence;
@@ -20,6 +21,7 @@
 pub mod holding;
 pub mod keeper;
 pub mod kept;
+pub mod latest;
 pub mod list;
 pub mod part;
 pub mod routes;
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -2,11 +2,13 @@
 //! lists, and counts itself while it has the duty. The serving core only notes its calls and follows the shares.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::{error, info, warn};
 use rand::Rng;
@@ -14,8 +16,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use super::asking::MOST_ASKED;
+use super::claims::{Claims, Heard};
 use super::evidence::{Evidence, send_every_ms};
 use super::holder::Counting;
 use super::holding::{Kept, Terms};
@@ -24,14 +28,18 @@
 use super::list::{Given, List, Listed, Number, Shares};
 use super::wire::Holder;
 use super::{door, holder, voter};
-use crate::duty::Held;
 use crate::duty::lease::now_ms;
+use crate::duty::{Held, Vouched, Voucher};
 use crate::fleet::view::{Node, View};
 use crate::partners::lookup::InForce;
 
 /// Periods in which a voter that is there is heard.
 const HEARD_PERIODS: f64 = 3.0;
 
+/// How often the store is asked about one claim, and the time between.
+const ASKED: usize = 3;
+const ASKED_AGAIN: Duration = Duration::from_millis(100);
+
 /// What a node notes of its calls, to be sent.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Noted {
@@ -52,6 +60,8 @@
     pub zone: String,
     /// The address that it listens at and asks from.
     pub listen: SocketAddr,
+    /// Asks the store whether who says that it counts does.
+    pub voucher: Voucher,
     /// Where the number of the latest list is kept.
     pub file: Option<PathBuf>,
     /// What operators set.
@@ -140,7 +150,7 @@
         view,
         life: rand::rng().random(),
         guard: RefCell::new(guard),
-        known: RefCell::default(),
+        claims: RefCell::default(),
         counting: RefCell::default(),
         own: RefCell::default(),
         asked: RefCell::default(),
@@ -156,6 +166,26 @@
     Ok(())
 }
 
+/// Asks the store whether a node counts that says so, or that another one says it of. The member that is asked may lag
+/// behind the one that gave the duty.
+async fn ask_store(seat: Rc<Seat>, teller: String, holder: Holder) {
+    let mut why = String::new();
+    for _ in 0..ASKED {
+        match seat.options.voucher.ask(holder.fence, &holder.name).await {
+            Ok(Vouched::Holds) => return seat.go_by(holder),
+            Ok(Vouched::Not) => {
+                why = "the store says that it does not".to_owned();
+                break;
+            }
+            Ok(Vouched::Unknown) => why = "the store has given no such number".to_owned(),
+            Err(problem) => why = format!("the store is not heard: {problem}"),
+        }
+        sleep(ASKED_AGAIN).await;
+    }
+    let Holder { fence, name } = holder;
+    warn!("verdicts: {teller} says that {name} counts under number {fence}, which is not gone by: {why}");
+}
+
 /// How this node's own evidence fares.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Own {
@@ -169,7 +199,7 @@
     view: watch::Receiver<View>,
     pub(super) life: u64,
     guard: RefCell<KeptGuard>,
-    known: RefCell<Option<Holder>>,
+    claims: RefCell<Claims>,
     /// While this node counts.
     pub(super) counting: RefCell<Option<Counting>>,
     pub(super) own: RefCell<Own>,
@@ -213,24 +243,37 @@
 
     /// Who counts, as it was told last.
     pub(super) fn holder(&self) -> Option<Holder> {
-        self.known.borrow().clone()
+        self.claims.borrow().holder().cloned()
     }
 
-    /// Hears who counts. A lower number than one that was seen is turned down with that one.
-    pub(super) fn hear_of(&self, holder: Holder) -> Result<(), u64> {
+    /// Hears from a node who counts. A lower number than one that was seen is turned down with that one; a holder that
+    /// this node did not go by is gone by once the store vouches for it.
+    pub(super) fn hear_of(self: &Rc<Self>, teller: &str, holder: Holder) -> Result<(), u64> {
         let seen = self.guard.borrow().guard().seen().fence;
-        let seen = self.known.borrow().as_ref().map_or(seen, |known| known.fence.max(seen));
-        let known =
-            self.holder().is_some_and(|known| known.fence == holder.fence && known.name != holder.name);
-        if holder.fence < seen || known {
-            return Err(seen);
+        match self.claims.borrow_mut().hear(self.now(), seen, teller, &holder) {
+            Heard::Known | Heard::Waits => Ok(()),
+            Heard::Passed(seen) => Err(seen),
+            Heard::New => {
+                spawn_local(ask_store(self.clone(), teller.to_owned(), holder));
+                Ok(())
+            }
         }
-        if self.known.borrow().as_ref() != Some(&holder) {
-            info!("verdicts: {} counts under number {}", holder.name, holder.fence);
-            self.known.replace(Some(holder));
+    }
+
+    /// Goes by a holder that the store vouches for, or that is this node.
+    pub(super) fn go_by(&self, holder: Holder) {
+        let told = format!("verdicts: {} counts under number {}", holder.name, holder.fence);
+        if self.claims.borrow_mut().go_by(holder) {
+            info!("{told}");
             self.rung.notify_one();
         }
-        Ok(())
+    }
+
+    /// How many machines may lie.
+    pub(super) fn liars(&self) -> usize {
+        let view = self.view.borrow();
+        let machines: BTreeSet<&str> = view.nodes().map(|node| node.applicant.machine.as_str()).collect();
+        self.options.terms.borrow().rules.liars_of(machines.len())
     }
 
     /// The number of the list that is in force here; none after a start, before the first list.
@@ -245,8 +288,13 @@
         guard.guard().in_force(self.now()).filter(|list| list.number > number).cloned()
     }
 
-    /// Applies a list of the one that counts.
-    pub(super) fn accept(&self, list: &List) {
+    /// Applies a list that this holder has told.
+    pub(super) fn accept(&self, holder: &Holder, list: &List) {
+        if list.number.fence != holder.fence {
+            let Number { fence, sequence } = list.number;
+            warn!("verdicts: {} tells list {fence}.{sequence}, which is not its own", holder.name);
+            return;
+        }
         let accepted = self.guard.borrow_mut().accept(self.now(), list);
         let Number { fence, sequence } = list.number;
         match accepted {
--- a/src/verdict/voter.rs
+++ b/src/verdict/voter.rs
@@ -38,7 +38,7 @@
 
 /// Sends what there is; returns what was not counted, to be sent again. A message that came twice counts once: it has its
 /// number still.
-async fn send(seat: &Seat, pending: Option<Pending>) -> Option<Pending> {
+async fn send(seat: &Rc<Seat>, pending: Option<Pending>) -> Option<Pending> {
     // What it was asked to call holds until now.
     seat.asked.take();
     let Some(holder) = seat.holder() else {
@@ -57,14 +57,14 @@
         Ok(Answer::Counted { number, list, ill, asked }) => {
             seat.asked.replace(asked);
             match list {
-                Some(list) => seat.accept(&list),
+                Some(list) => seat.accept(&holder, &list),
                 None => seat.confirmed(number),
             }
             counted(seat, ill);
             None
         }
         Ok(Answer::Elsewhere(Some(other))) => {
-            let _ = seat.hear_of(other);
+            let _ = seat.hear_of(&holder.name, other);
             Some(pending)
         }
         Ok(Answer::Elsewhere(None)) => Some(pending),
@@ -85,18 +85,17 @@
 
 /// A node that has begun asks another one, drawn at random, who counts: it is not to wait until it is missed. Evidence
 /// with nothing in it, numbered below any, counts for nothing.
-async fn look_around(seat: &Seat) {
+async fn look_around(seat: &Rc<Seat>) {
     let others = seat.names().into_iter().filter(|name| *name != seat.options.name);
     let Some(node) = others.choose(&mut rand::rng()).and_then(|name| seat.node(&name)) else { return };
     let what = What::Evidence { evidence: Evidence::default(), trials: Vec::new(), have: seat.have() };
     let said = Said { from: seat.options.name.clone(), life: seat.life, what };
     match say(seat.address_of(&node), seat.from(), &said).await {
-        Ok(Answer::Elsewhere(Some(holder))) => drop(seat.hear_of(holder)),
-        Ok(Answer::Counted { list: Some(list), .. }) => {
-            let holder = Holder { fence: list.number.fence, name: node.applicant.name };
-            if seat.hear_of(holder).is_ok() {
-                seat.accept(&list);
-            }
+        Ok(Answer::Elsewhere(Some(holder))) => drop(seat.hear_of(&node.applicant.name, holder)),
+        // The list itself comes with the answer to the first evidence, once the store has vouched for who tells it.
+        Ok(Answer::Counted { number, .. }) => {
+            let name = node.applicant.name;
+            let _ = seat.hear_of(&name, Holder { fence: number.fence, name: name.clone() });
         }
         Ok(_) => {}
         Err(problem) => debug!("verdicts: {} is not reached: {problem}", node.applicant.name),
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::net::UdpSocket;
 use std::time::Duration;
 
 use rig::duties::{gaps, judge};
@@ -11,6 +12,9 @@
 use rig::target::{LEASE_MS, Target, node_of};
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
+use sillflow::duty::DutyName;
+use sillflow::duty::table::{Grant, Grants, Standing};
+use sillflow::fleet::wire::Packet;
 
 const NODES: usize = 5;
 const TARGET: usize = NODES + 1;
@@ -239,6 +243,39 @@
     nothing_is_broken(&target, true);
 }
 
+#[rstest]
+fn a_neighbour_that_makes_up_a_grant_changes_nothing() {
+    let (mut rig, target) = Rig::dutiful(NODES, &["announce"]);
+    let (n, number, _) = holder(&target);
+    // It belongs to the fleet, is no member of the store, and knows the session that it writes of.
+    let liar = NODES + 2;
+    rig.join(liar, 0);
+    let all: Vec<usize> = (1..=NODES).collect();
+    until("it belongs", PATIENCE, || rig.all_see(&all, NODES + 1));
+    let session = rig.seen(n).and_then(|seen| seen.duties).and_then(|duties| duties.session);
+    let session = u64::from_str_radix(&session.expect("a session"), 16).expect("digits");
+    let duty = DutyName::new("announce").expect("a name");
+    let made_up = Grant { duty, number: number + 1_000_000, hand_on: false, state: Vec::new() };
+    let grants = Grants {
+        session,
+        revision: u64::MAX / 2,
+        grants: vec![made_up],
+        standing: Standing::default(),
+        leader: None,
+    };
+    let bytes = Packet::Granted(Box::new(grants)).to_bytes().expect("it is short");
+    let from = rig.relayed(liar).split(':').next().map(|host| format!("{host}:0")).expect("an address");
+    let socket = UdpSocket::bind(from).expect("an address");
+    for _ in 0..10 {
+        socket.send_to(&bytes, rig.fleet_address(n)).expect("a datagram");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    goes_on(&target);
+    let (_, last) = target.last("announce").expect("a beat");
+    assert_eq!((node_of(&last), last.fence.number), (n, number));
+    nothing_is_broken(&target, true);
+}
+
 #[rstest]
 fn power_is_lost_for_all() {
     let (mut rig, target) = Rig::dutiful(NODES, &["announce", "count"]);
--- a/tests/duties_rules.rs
+++ b/tests/duties_rules.rs
@@ -12,7 +12,7 @@
 use sillflow::duty::lease::{self, Watch};
 use sillflow::duty::own::Own;
 use sillflow::duty::table::{Deed, Fit, Grant, Grants, Refused, Standing, State, Table, Work};
-use sillflow::duty::{DutyName, Fence, Guard, Stale};
+use sillflow::duty::{DutyName, Fence, Guard, Stale, Vouched};
 
 const LEASE: u64 = 1000;
 
@@ -66,6 +66,30 @@
     }
 }
 
+#[rstest]
+fn a_member_vouches_for_the_holder_under_its_number_alone() {
+    let mut table = table(1, 2);
+    let held = |table: &Table| {
+        let by = table.duty(&name(0)).and_then(|duty| Some((duty.number, duty.state.holder()?)));
+        by.expect("it is held")
+    };
+    let (number, by) = held(&table);
+    let (node, other) = (format!("n{by}"), format!("n{}", 3 - by));
+    let vouch = |table: &Table, number, node: &str| table.vouch(&name(0), number, node);
+    assert_eq!(vouch(&table, number, &node), Vouched::Holds);
+    assert_eq!(vouch(&table, number, &other), Vouched::Not);
+    // A member that lags does not know of the latest number yet, nor of the latest duty.
+    assert_eq!(vouch(&table, number + 1, &node), Vouched::Unknown);
+    assert_eq!(vouch(&table, u64::MAX, &other), Vouched::Unknown);
+    assert_eq!(table.vouch(&name(7), number, &node), Vouched::Unknown);
+    // It is the next one's, and what was before is over.
+    expire(&mut table, by);
+    let (next, after) = held(&table);
+    assert!(next > number && after != by);
+    assert_eq!(vouch(&table, next, &other), Vouched::Holds);
+    assert_eq!([vouch(&table, number, &node), vouch(&table, next, &node)], [Vouched::Not; 2]);
+}
+
 fn table(duties: usize, nodes: u64) -> Table {
     let mut table = Table::default();
     (1..=nodes).for_each(|n| table.apply(open(n, 1), &all).expect("room"));
--- a/tests/partners.rs
+++ b/tests/partners.rs
@@ -18,9 +18,9 @@
 use sillflow::config::Operator;
 use sillflow::partners::asking::{Feed, Told};
 use sillflow::partners::board::{Board, NotTaken};
-use sillflow::partners::planted::{Planted, plant};
 use sillflow::partners::restrict::{Audience, Restriction};
 use sillflow::partners::table::Version;
+use sillflow::planted::{Planted, plant};
 use sites::{Between, Broken, FIRST_MS, FOLLOWED_MS, Fleet, Mode, STALE_MS, Stand, World};
 use slow::name;
 
@@ -252,6 +252,51 @@
     assert_eq!(world.judge(FIRST_MS), []);
 }
 
+/// Whether a node is followed that holds the duty by its own word alone, when the one that does is gone and all look for
+/// the next.
+fn pretender_is_followed(planted: &str) -> bool {
+    const NUMBER: u64 = u64::MAX / 4;
+    let world = World::new();
+    let mut fleet = Fleet::with_guests(&world, "f1", 3, 1);
+    let a = Stand::start(&world, "a");
+    fleet.start(&[Fleet::site_of(&a)], planted);
+    let (n, number) = fleet.held(0);
+    fleet.rig.join(4, 0);
+    until("all know it", PATIENCE, || fleet.rig.all_see(&[1, 2, 3], 4));
+    sites::pretends(&fleet.address(4), "n4", NUMBER);
+    a.announce(1, &[]);
+    let others: Vec<usize> = (1..=3).filter(|other| *other != n).collect();
+    let reports = |fleet: &Fleet| others.iter().filter_map(|n| fleet.report(*n)).collect::<Vec<_>>();
+    let follows = |fleet: &Fleet| reports(fleet).iter().any(|report| report.version.term >= NUMBER);
+    // Where it is followed, that is what was to be seen; else all is as it was.
+    let all_have = |fleet: &Fleet, routes: usize| {
+        until("all have what the partner tells", PATIENCE, || {
+            follows(fleet) || others.iter().all(|n| fleet.routes(*n, "a") == routes)
+        });
+    };
+    all_have(&fleet, 1);
+    fleet.rig.kill(n);
+    until("the next one is followed", PATIENCE, || {
+        let reports = reports(&fleet);
+        let next = reports.iter().find(|report| report.holds).map(|report| report.holder.clone());
+        let follow = |holder| reports.iter().filter(|report| report.holder == holder).count() == others.len();
+        follows(&fleet)
+            || reports.iter().all(|report| report.version.term > number) && next.is_some_and(follow)
+    });
+    a.announce(2, &[]);
+    all_have(&fleet, 2);
+    follows(&fleet)
+}
+
+#[rstest]
+#[case::nobody_follows_it("", false)]
+#[case::planted_nodes_believe_it("HolderUnproved", true)]
+fn a_node_that_says_that_it_holds_the_duty(#[case] planted: &str, #[case] followed: bool) {
+    // Where nodes believe it, the true one may be found before.
+    let tries = if followed { 5 } else { 1 };
+    assert_eq!((0..tries).any(|_| pretender_is_followed(planted)), followed);
+}
+
 /// Two fleets that are each other's partners, and stand-ins that are partners of both.
 fn two_fleets(names: &[&str]) -> (World, [Fleet; 2], Vec<Stand>, Between) {
     let world = World::new();
--- a/tests/partners_rules.rs
+++ b/tests/partners_rules.rs
@@ -21,10 +21,10 @@
 use sillflow::partners::export::{Aggregate, Exports, MOST_CHANGES, NotTold, Rules};
 use sillflow::partners::lead::{Leading, Now};
 use sillflow::partners::merge::{Change, Held, Merged, Tables, join};
-use sillflow::partners::planted::{Planted, plant};
 use sillflow::partners::restrict::{Restriction, Restrictions, Sites, may_tell};
 use sillflow::partners::route::{Match, Name, Route};
 use sillflow::partners::table::{Document, Grant, Table, Terms, Version};
+use sillflow::planted::{Planted, plant};
 use slow::{Announced, Draw, agrees, name};
 
 const NOW: u64 = 1000;
--- a/tests/rig/sites.rs
+++ b/tests/rig/sites.rs
@@ -382,19 +382,7 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         let mut stream = stream;
-        loop {
-            let mut question = String::new();
-            loop {
-                let mut line = String::new();
-                if reader.read_line(&mut line).unwrap_or(0) == 0 {
-                    return;
-                }
-                if question.is_empty() {
-                    question = line;
-                } else if line.trim().is_empty() {
-                    break;
-                }
-            }
+        while let Some(question) = question(&mut reader) {
             let after =
                 question.split(['&', '?', ' ']).find_map(|part| part.strip_prefix("after=")?.split_once('.'));
             let after =
@@ -568,6 +556,47 @@
     }
 }
 
+/// The first line of a question; nothing where the connection ends.
+fn question(reader: &mut impl BufRead) -> Option<String> {
+    let mut question = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).unwrap_or(0) == 0 {
+            return None;
+        }
+        if question.is_empty() {
+            question = line;
+        } else if line.trim().is_empty() {
+            return Some(question);
+        }
+    }
+}
+
+/// A node says to whoever asks there that it holds the duty, under this number, and tells a table that nobody has merged.
+pub fn pretends(at: &str, by: &str, number: u64) {
+    let listener = TcpListener::bind(at).expect("nobody else has it");
+    let route = route(99, Some("a"), &[]).1;
+    let feed = json!({
+        "by": by, "version": {"term": number, "serial": 1}, "from": null, "count": 1, "partners": {},
+        "routes": [{"from": "a", "route": route}], "gone": [],
+    });
+    let text = feed.to_string();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let text = text.clone();
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                while question(&mut reader).is_some() {
+                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+                    if stream.write_all((head + &text).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 /// Asks a node as a partner; nothing where it does not answer.
 pub fn ask(at: &str, by: &str, after: Option<(u64, u64)>) -> Option<(u16, Value)> {
     let after = after.map_or(String::new(), |(term, serial)| format!("&after={term}.{serial}"));
@@ -643,7 +672,12 @@
 impl Fleet {
     /// Room for so many nodes; none is started.
     pub fn new(world: &World, site: &str, count: usize) -> Self {
-        let (rig, site) = (Rig::new(count), site.to_owned());
+        Self::with_guests(world, site, count, 0)
+    }
+
+    /// The same with room for so many that belong and have no part.
+    pub fn with_guests(world: &World, site: &str, count: usize, guests: usize) -> Self {
+        let (rig, site) = (Rig::new(count + guests), site.to_owned());
         let (world, more) = (world.clone(), String::new());
         let fleet = Self { rig, site, count, more, world, own: Mutex::default() };
         fleet.write_own();
--- a/tests/rig/target.rs
+++ b/tests/rig/target.rs
@@ -216,26 +216,47 @@
         (rig, target)
     }
 
-    /// Faults drawn from a seed, half of them done to a node that holds something; then all is well, and each duty is acted
+    /// Faults and upgrades drawn from a seed, half of them done to a node that holds something; then all is well, and each duty is acted
     /// under again. Returns what broke. The faults are those that were drawn; whom they met depends on who held what.
     pub fn drawn(seed: u64, count: usize, duties: &[&str]) -> Vec<Broken> {
         let mut rng = SmallRng::seed_from_u64(seed);
         let (mut rig, target) = Self::dutiful(count, duties);
         let all: Vec<usize> = (1..=count).collect();
-        let mut stopped = false;
+        let (mut stopped, mut halted) = (false, BTreeSet::new());
         for _ in 0..rng.random_range(5..10) {
             let duty = duties.choose(&mut rng).expect("a duty");
             let holder = target.last(duty).map_or(1, |(_, beat)| node_of(&beat));
             let two = vec![holder, holder % count + 1];
             let these = if rng.random() { &two } else { &all };
-            let fault = match rng.random_range(0..5) {
-                0 => Fault::Drain(these[0]),
-                _ => draw(&mut rng, these),
+            let fault = match rng.random_range(0..6) {
+                0 => Some(Fault::Drain(these[0])),
+                // Another process of it takes over.
+                1 => None,
+                _ => Some(draw(&mut rng, these)),
             };
             println!("seed {seed}: {duty} is at {holder}; {fault:?}");
-            stopped |= matches!(fault, Fault::Stop(_));
-            inflict(&mut rig, &all, &fault);
+            match &fault {
+                Some(Fault::Stop(n)) => _ = halted.insert(*n),
+                Some(Fault::Go(n) | Fault::Kill(n) | Fault::Drain(n)) => _ = halted.remove(n),
+                _ => {}
+            }
+            stopped |= !halted.is_empty();
+            let upgraded = fault.is_none() && rig.runs(holder) && !halted.contains(&holder);
+            match fault {
+                Some(fault) => inflict(&mut rig, &all, &fault),
+                None if upgraded => {
+                    let process = |rig: &Rig| format!("n{holder}/{}", rig.pid(holder));
+                    let before = process(&rig);
+                    rig.follow(holder);
+                    target.passes(&before, &process(&rig));
+                    rig.upgrade(holder);
+                }
+                None => {}
+            }
             std::thread::sleep(Duration::from_millis(rng.random_range(100..2 * LEASE_MS)));
+            if upgraded {
+                rig.upgraded(holder);
+            }
         }
         calm(&mut rig, &all);
         let calm = target.now_ms();
--- a/tests/rig/verdicts.rs
+++ b/tests/rig/verdicts.rs
@@ -17,7 +17,7 @@
 use sillflow::verdict::evidence::{Evidence, Item};
 use sillflow::verdict::list::{List, Listed, Number, Stage, Why};
 use sillflow::verdict::part::Report;
-use sillflow::verdict::wire::{Answer, Said, What, say};
+use sillflow::verdict::wire::{Answer, QUESTION_BYTES, Said, What, receive, say, send};
 
 use super::copies::Work;
 use super::relay::VERDICTS;
@@ -473,6 +473,8 @@
     pub zones: usize,
     /// Further nodes that belong and have no part, so that a stand-in can vote as each.
     pub guests: usize,
+    /// An error in every node, where one is named.
+    pub planted: &'static str,
 }
 
 impl Site {
@@ -481,7 +483,18 @@
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let servers = (0..servers).map(|_| Server::new(any, clock, seen.clone())).collect();
         let (done, stop) = (Arc::default(), Arc::default());
-        Self { servers, seen, done, clock, stop, callers: Vec::new(), more: String::new(), zones, guests: 1 }
+        Self {
+            servers,
+            seen,
+            done,
+            clock,
+            stop,
+            callers: Vec::new(),
+            more: String::new(),
+            zones,
+            guests: 1,
+            planted: "",
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -563,7 +576,7 @@
         rig.work = Some(work);
         for n in 1..=count {
             let file = rig.votes_table(n, site);
-            rig.start_with(n, &file, "");
+            rig.start_with(n, &file, &format!("export SILLFLOW_PLANTED={};", site.planted));
         }
         (count + 1..=whole).for_each(|n| rig.join(n, n % site.zones));
         let all: Vec<usize> = (1..=count).collect();
@@ -601,6 +614,22 @@
         self.seen(n)?.verdicts
     }
 
+    /// Whether a node has the duty of counting, and may have only begun.
+    pub fn has_duty(&self, n: usize) -> bool {
+        let held = self.seen(n).and_then(|seen| seen.duties).unwrap_or_default().held;
+        held.iter().any(|shown| shown.duty.as_str() == "verdicts")
+    }
+
+    /// Waits until one of these has the duty of counting.
+    pub fn given_to(&self, among: &[usize]) -> usize {
+        let mut found = None;
+        until("a node has the duty", PATIENCE, || {
+            found = among.iter().copied().find(|n| self.has_duty(*n));
+            found.is_some()
+        });
+        found.expect("a node")
+    }
+
     /// The node that counts, as all of these were told.
     pub fn counts(&self, among: &[usize]) -> Option<usize> {
         among.iter().copied().find(|n| self.votes(*n).is_some_and(|votes| votes.counts))
@@ -661,3 +690,58 @@
         }
     }
 }
+
+/// A node that says that it counts, under a number that was never given, and has a list that nobody else has.
+pub struct Pretender {
+    n: usize,
+    life: u64,
+    number: u64,
+}
+
+impl Pretender {
+    /// In the place of a node that belongs; the list has this server out for all.
+    pub fn start(rig: &Rig, n: usize, out: SocketAddr) -> Self {
+        let pretender = Self { n, life: rand::random(), number: u64::MAX / 4 };
+        let why = Why::Operator;
+        let listed =
+            Listed { server: out, scope: Scope::Everywhere, stage: Stage::Out, times: 1, why, word: None };
+        let at = SocketAddr::new(rig.fleet_address(n).ip(), VERDICTS);
+        let listener = TcpListener::bind(at).expect("nobody else has it");
+        listener.set_nonblocking(true).expect("a socket");
+        let number = pretender.number;
+        std::thread::spawn(move || {
+            wait(async {
+                let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
+                while let Ok((mut stream, _)) = listener.accept().await {
+                    let listed = listed.clone();
+                    let tells = async {
+                        let said: Said = receive(&mut stream, QUESTION_BYTES).await.ok()?;
+                        send(&mut stream, &lie(said.what, number, listed)).await.ok()
+                    };
+                    let _ = tokio::time::timeout(Duration::from_millis(500), tells).await;
+                }
+            })
+        });
+        pretender
+    }
+
+    /// Says to a node that it counts.
+    pub fn claims(&self, rig: &Rig, to: usize) -> Option<Answer> {
+        let what = What::Holds { fence: self.number, best: Number::default() };
+        let said = Said { from: format!("n{}", self.n), life: self.life, what };
+        let at = SocketAddr::new(rig.fleet_address(to).ip(), VERDICTS);
+        wait(say(at, rig.relayed(self.n).split(':').next()?.parse().ok()?, &said)).ok()
+    }
+}
+
+/// What the pretender answers: its list, to the next one that counts as the last of the one before.
+fn lie(asked: What, number: u64, listed: Listed) -> Answer {
+    let list = |fence| List { number: Number { fence, sequence: 1_000_000 }, entries: vec![listed] };
+    match asked {
+        What::Holds { fence, .. } => Answer::Known(Some(list(fence - 1))),
+        What::Evidence { .. } => {
+            let list = list(number);
+            Answer::Counted { number: list.number, list: Some(list), ill: false, asked: Vec::new() }
+        }
+    }
+}
--- a/tests/verdict_rules.rs
+++ b/tests/verdict_rules.rs
@@ -14,6 +14,7 @@
 use sillflow::route::{self, Ended, Options, Pool, Spec};
 use sillflow::verdict::asking::{MOST_ASKED, ask};
 use sillflow::verdict::cap::{Decision, Gone, Limits, Member, Reason, Word, decide};
+use sillflow::verdict::claims::{AGAIN_MS, Claims, Heard};
 use sillflow::verdict::count::{Doubt, Findings, Kind, Outlier, Planted, Rules, Scope, judge, least_voters};
 use sillflow::verdict::evidence::{
     Book, Call, Counts, Evidence, EvidenceError, Item, Life, MOST_BYTES, MOST_ITEMS, Recorder, SLOT_MS, Voter,
@@ -21,9 +22,11 @@
 use sillflow::verdict::holding::{Holding, Terms, Vote};
 use sillflow::verdict::keeper::{CALM_MS, Keeper, OUT_MS, TRIAL_MS, Trial, out_ms};
 use sillflow::verdict::kept::{KeepError, KeptGuard};
+use sillflow::verdict::latest::Latest;
 use sillflow::verdict::list::{Guard, KEEP_MS, List, ListError, Listed, Number, Share, Stage, Why};
 use sillflow::verdict::routes::routes_of;
 use sillflow::verdict::sequential::{Wealth, bet, contribution, pooled, recovered};
+use sillflow::verdict::wire::Holder;
 
 const ZONES: usize = 3;
 
@@ -963,3 +966,62 @@
     }
     assert!(pool.choose(0.0, 1.0, true, &[], &mut rng).is_err());
 }
+
+fn holder(fence: u64, n: usize) -> Holder {
+    Holder { fence, name: format!("n{n}") }
+}
+
+#[rstest]
+fn a_holder_is_gone_by_only_once_the_store_has_vouched_for_it() {
+    let mut claims = Claims::default();
+    assert_eq!(claims.hear(0.0, 0, "n1", &holder(7, 1)), Heard::New);
+    assert_eq!(claims.holder(), None);
+    assert!(claims.go_by(holder(7, 1)));
+    assert_eq!(claims.hear(1.0, 0, "n1", &holder(7, 1)), Heard::Known);
+    // Another one under the same number, one under a lower one, and one below a list of an earlier start.
+    assert_eq!(claims.hear(2.0, 0, "n2", &holder(7, 2)), Heard::Passed(7));
+    assert_eq!(claims.hear(2.0, 0, "n2", &holder(6, 2)), Heard::Passed(7));
+    assert_eq!(claims.hear(2.0, 9, "n2", &holder(8, 2)), Heard::Passed(9));
+    // One that names number after number has the store asked seldom, and holds up nobody else.
+    assert_eq!(claims.hear(3.0, 0, "n3", &holder(1 << 60, 3)), Heard::New);
+    assert_eq!(claims.hear(4.0, 0, "n3", &holder(1 << 61, 3)), Heard::Waits);
+    assert_eq!(claims.hear(5.0, 0, "n4", &holder(8, 4)), Heard::New);
+    assert_eq!(claims.hear(4.0 + AGAIN_MS, 0, "n3", &holder(1 << 61, 3)), Heard::New);
+    // Two are vouched for, and the answers come in any order.
+    assert!(claims.go_by(holder(9, 5)) && !claims.go_by(holder(8, 4)));
+    assert_eq!(claims.holder(), Some(&holder(9, 5)));
+}
+
+fn told(fence: u64, sequence: u64, server: usize) -> List {
+    let why = Why::Operator;
+    let listed =
+        Listed { server: at(server), scope: Scope::Everywhere, stage: Stage::Out, times: 1, why, word: None };
+    List { number: Number { fence, sequence }, entries: vec![listed] }
+}
+
+#[rstest]
+#[case::nothing_is_known(0, None, &[], None)]
+#[case::one_is_enough_where_nobody_may_lie(0, None, &[("a", told(3, 1, 0))], Some(told(3, 1, 0)))]
+#[case::one_alone_may_lie(1, None, &[("a", told(3, 9, 0))], None)]
+#[case::two_nodes_of_one_machine_are_one(1, None, &[("a", told(3, 9, 0)), ("a", told(3, 9, 0))], None)]
+#[case::two_machines_tell_it_alike(
+    1, None, &[("a", told(3, 9, 0)), ("b", told(3, 8, 1)), ("c", told(3, 8, 1))], Some(told(3, 8, 1)))]
+#[case::two_of_one_number_that_differ(1, None, &[("a", told(3, 9, 0)), ("b", told(3, 9, 1))], None)]
+#[case::its_own_is_known_to_be_true(1, Some(told(3, 5, 0)), &[("a", told(3, 9, 1))], Some(told(3, 5, 0)))]
+#[case::a_later_one_goes_before_its_own(
+    1, Some(told(3, 5, 0)), &[("a", told(3, 6, 1)), ("b", told(3, 6, 1))], Some(told(3, 6, 1)))]
+#[case::none_is_of_this_holder_or_a_later_one(0, None, &[("a", told(4, 1, 0)), ("b", told(9, 1, 0))], None)]
+#[case::many_lists_of_one_machine(
+    1, None,
+    &[("a", told(3, 1, 0)), ("a", told(3, 2, 0)), ("a", told(3, 7, 0)), ("b", told(3, 7, 0))], None)]
+fn the_next_holder_goes_on_from_what_more_machines_tell_alike_than_may_lie(
+    #[case] liars: usize,
+    #[case] own: Option<List>,
+    #[case] all: &[(&str, List)],
+    #[case] found: Option<List>,
+) {
+    let mut latest = Latest::new(4, liars, own);
+    all.iter().for_each(|(machine, list)| latest.hear(machine, list.clone()));
+    assert_eq!(latest.found(), found.as_ref());
+    assert_eq!(latest.number(), found.map_or(Number::default(), |list| list.number));
+}
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rig::relay::Link;
-use rig::verdicts::{Allowed, Broken, Call, IN_FORCE_MS, Seen, Site, StandIn, TAKES_MS, judge};
+use rig::verdicts::{Allowed, Broken, Call, IN_FORCE_MS, Pretender, Seen, Site, StandIn, TAKES_MS, judge};
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
 use serde_json::json;
@@ -217,6 +217,78 @@
     site.holds();
 }
 
+#[rstest]
+fn two_lying_machines_of_fifteen_keep_no_dead_server_in_and_remove_no_good_one() {
+    const HONEST: usize = 13;
+    let mut site = Site::new(5, 3);
+    (site.more, site.guests) = ("liars = 2\n".to_owned(), 2);
+    let rig = Rig::voting(HONEST, &mut site);
+    let honest: Vec<usize> = (1..=HONEST).collect();
+    let mut lying = [StandIn::new(HONEST + 1), StandIn::new(HONEST + 2)];
+    let (good, bad) = (site.address(1), site.address(0));
+    site.ill(0, None);
+    site.servers[0].die();
+    let took = until("the dead one is removed", REMOVED, || {
+        if let Some(holder) = rig.counts(&honest) {
+            lying.iter_mut().for_each(|liar| _ = liar.says(&rig, &site, holder, lies(good, bad)));
+        }
+        assert!(honest.iter().all(|n| rig.lists(*n, good).is_none()), "the good one stays");
+        honest.iter().all(|n| rig.lists(*n, bad).is_some())
+    });
+    eprintln!("removed at {HONEST} nodes after {took:?}, with two liars");
+    site.holds();
+}
+
+/// Whether one that counts by its own word alone has a good server removed: it tells everyone that it does, and has a list
+/// for the next one that does.
+fn pretends(planted: &'static str) -> bool {
+    let mut site = Site::new(5, 3);
+    (site.more, site.planted) = ("liars = 1\n".to_owned(), planted);
+    let mut rig = Rig::voting(NODES, &mut site);
+    let good = site.address(1);
+    let pretender = Pretender::start(&rig, NODES + 1, good);
+    let believed = |rig: &Rig, time: Duration| {
+        let end = Instant::now() + time;
+        let mut believed = false;
+        while !believed && Instant::now() < end {
+            all().into_iter().filter(|n| rig.runs(*n)).for_each(|n| drop(pretender.claims(rig, n)));
+            std::thread::sleep(Duration::from_millis(200));
+            believed = all().iter().any(|n| rig.lists(*n, good).is_some());
+        }
+        believed
+    };
+    if believed(&rig, Duration::from_secs(4)) {
+        return true;
+    }
+    let old = rig.counted_by(&all(), &[]);
+    let before = rig.votes(old).expect("a report").list;
+    rig.kill(old);
+    let rest: Vec<usize> = all().into_iter().filter(|n| *n != old).collect();
+    let new = rig.counted_by(&rest, &[]);
+    if believed(&rig, Duration::from_secs(4)) {
+        return true;
+    }
+    until("all follow the one that has the duty", PATIENCE, || {
+        rest.iter().all(|n| {
+            let votes = rig.votes(*n).unwrap_or_default();
+            votes.list.fence > before.fence
+                && votes.holder.is_some_and(|holder| holder.name == format!("n{new}"))
+        })
+    });
+    let since = site.now_ms();
+    until("each calls the good one", PATIENCE, || rest.iter().all(|n| site.calls(1, since, &[*n]) > 0));
+    site.holds();
+    false
+}
+
+#[rstest]
+#[case::nobody_believes_it("", false)]
+#[case::planted_nodes_believe_who_counts("HolderUnproved", true)]
+#[case::planted_the_next_one_believes_the_list("ListUnproved", true)]
+fn a_node_that_says_that_it_counts(#[case] planted: &'static str, #[case] believed: bool) {
+    assert_eq!(pretends(planted), believed);
+}
+
 #[rstest]
 fn a_planned_restart_and_a_cold_server_remove_nobody() {
     let (rig, mut site, mut asks) = a_fleet();
@@ -353,13 +425,7 @@
             Self::Killed => rig.kill(n),
             Self::Lossy => links(&|link| (link.delay_ms, link.lost) = (150, 0.2)),
             Self::Slow => links(&|link| link.delay_ms = 2000),
-            Self::ThreeHolders => (0..2).for_each(|_| {
-                let old = rig.counted_by(&all(), &[]);
-                rig.signal(old, "-STOP");
-                let rest: Vec<usize> = all().into_iter().filter(|other| *other != old).collect();
-                rig.counted_by(&rest, &[]);
-                rig.signal(old, "-CONT");
-            }),
+            Self::ThreeHolders => three_holders(rig),
             Self::Split => rig.relay.split(&apart, &[1, 2, 3, NODES + 1]),
         }
         watch_at(rig, site, asks, &most, time);
@@ -376,6 +442,27 @@
     }
 }
 
+/// Three nodes have the duty one after the other within ten seconds. Where a busy machine takes longer, it is done again.
+fn three_holders(rig: &Rig) {
+    let mut took = Duration::MAX;
+    for _ in 0..5 {
+        let began = Instant::now();
+        for _ in 0..2 {
+            let old = rig.given_to(&all());
+            rig.signal(old, "-STOP");
+            let rest: Vec<usize> = all().into_iter().filter(|other| *other != old).collect();
+            rig.given_to(&rest);
+            rig.signal(old, "-CONT");
+        }
+        took = began.elapsed();
+        eprintln!("three nodes had the duty within {took:?}");
+        if took < Duration::from_secs(10) {
+            return;
+        }
+    }
+    panic!("three holders took {took:?}");
+}
+
 #[rstest]
 #[case::what_the_holder_sends(Fault::Mute)]
 #[case::what_is_sent_to_the_holder(Fault::Deaf)]
