Keep both processes of an upgrade to one crowd on the cores

Change: the old process tells the next one at its turn, and at each wake-up where it has changed, how many runs and calls it has and what they book (exchange/handed.rs, Room); the next one keeps to the rest (share_room), as it did with the memory alone. Calls below are not shared out: a new setting of these forgets the learned limit. A next process of an older build takes the new word for the end of the old one; an older old process says nothing of its runs.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -14,7 +14,7 @@
 
 use super::catalog::Catalog;
 use super::claims::{self, Copying};
-use super::handed::Handed;
+use super::handed::{Handed, Room};
 use super::kept::{Kept, Key, State};
 use super::types::{Answer, Ask, Call, Command, Input, Oddity, Origin, Posture, ReplyTo, TryId};
 use crate::config::{Site, gauges};
@@ -189,8 +189,10 @@
     pub(super) maintenance: bool,
     /// The next process of this node, once it has the keys.
     pub(super) successor: Option<mpsc::UnboundedSender<Handed>>,
-    /// Memory that the process before has booked, in kB, and the keys that it has in hand.
-    pub(super) elsewhere_kb: f64,
+    /// What it was told last of the room that is taken here.
+    pub(super) told_room: Room,
+    /// What the process before takes, and the keys that it has in hand.
+    pub(super) elsewhere: Room,
     pub(super) foreign: HashMap<Key, RequestId>,
     /// Told when nothing is open any more.
     finished: Option<oneshot::Sender<()>>,
@@ -232,7 +234,8 @@
             wants_traffic: false,
             maintenance: false,
             successor: None,
-            elsewhere_kb: 0.0,
+            told_room: Room::default(),
+            elsewhere: Room::default(),
             foreign: HashMap::new(),
             finished: None,
         })
@@ -357,7 +360,7 @@
             self.posture.level = None;
         }
         self.site = site;
-        self.share_memory();
+        self.share_room();
         self.retuned += 1;
         self.offer(true);
         self.waits.insert(Wait::Retired(self.retuned), RETIRES);
@@ -384,7 +387,7 @@
         if let Ok(controller) = Controller::new(self.seed, self.site.settings.clone()) {
             self.controller = controller;
         }
-        self.share_memory();
+        self.share_room();
         self.ask_controller(self.clock.now() - age_ms.max(0.0), &[]);
     }
 
@@ -653,7 +656,10 @@
 
     fn wait_over(&mut self, wait: Wait) {
         match wait {
-            Wait::Wake => self.measure(),
+            Wait::Wake => {
+                self.measure();
+                self.tell_room();
+            }
             Wait::Gauges(tag) => {
                 if let Some((_, late)) = self.asked.as_mut().filter(|(asked, _)| *asked == tag) {
                     *late = None;
--- a/src/exchange/handed.rs
+++ b/src/exchange/handed.rs
@@ -10,6 +10,18 @@
     Key(HandedKey),
     /// From here on the next process serves.
     Turn(Turn),
+    /// Behind the turn, what the requests that stay over there take by now.
+    Room(Room),
+}
+
+/// Room of the node that requests take which stay with the process before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    /// Memory that is booked for them, in kB.
+    pub booked_kb: f64,
+    /// Those that are on the cores or at calls, from which they come back.
+    #[serde(default)]
+    pub runs: u32,
 }
 
 /// A key that tries of one request bear.
@@ -45,8 +57,9 @@
 pub struct Turn {
     /// What bodies are shortened with.
     pub seed: u64,
-    /// Memory that is booked for requests that stay over there, in kB.
-    pub booked_kb: f64,
+    /// What the requests that stay over there take.
+    #[serde(flatten)]
+    pub room: Room,
     /// Whether the node has been told to send clients away, at the door and in the store.
     pub standby: bool,
     /// The same in the store.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -20,7 +20,7 @@
 pub use self::core::Exchange;
 pub use catalog::Catalog;
 pub use claims::Copying;
-pub use handed::{Handed, HandedKey, Standing, Turn};
+pub use handed::{Handed, HandedKey, Room, Standing, Turn};
 pub use types::{Answer, Ask, Call, Command, Input, Oddity, Origin, Posture, Reply, ReplyTo, TryId};
 
 /// Inputs that wait for the exchange before those who give them have to.
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 use super::core::{Exchange, Wait};
-use super::handed::{Handed, HandedKey, Standing, Turn};
+use super::handed::{Handed, HandedKey, Room, Standing, Turn};
 use super::kept::{Key, State};
 use super::next;
 use crate::interface::RequestId;
@@ -21,13 +21,26 @@
         keys.iter().for_each(|key| self.hand_on(key));
         self.tell_successor(Handed::Turn(Turn {
             seed: self.kept.seed(),
-            booked_kb: self.controller.booked_kb(),
+            room: self.room(),
             standby: self.posture.standby,
             maintenance: self.maintenance,
         }));
         self.stand();
     }
 
+    /// What the requests of this process take.
+    fn room(&self) -> Room {
+        Room { booked_kb: self.controller.booked_kb(), runs: self.controller.runs() }
+    }
+
+    /// Tells the next process, where there is one, what is still taken here.
+    pub(super) fn tell_room(&mut self) {
+        let room = self.room();
+        if self.successor.is_some() && std::mem::replace(&mut self.told_room, room) != room {
+            self.tell_successor(Handed::Room(room));
+        }
+    }
+
     fn tell_successor(&self, handed: Handed) {
         if let Some(successor) = &self.successor {
             // Where it has ended, nobody is left to be told.
@@ -65,12 +78,16 @@
             Handed::Turn(turn) => {
                 info!("taking over with {} keys", self.kept.operations().count());
                 self.kept.set_seed(turn.seed);
-                self.elsewhere_kb = turn.booked_kb;
-                self.share_memory();
+                self.elsewhere = turn.room;
+                self.share_room();
                 self.posture.standby = turn.standby;
                 self.maintenance = turn.maintenance;
                 self.stand();
             }
+            Handed::Room(room) => {
+                self.elsewhere = room;
+                self.share_room();
+            }
         }
     }
 
@@ -112,20 +129,25 @@
 
     /// The process before has ended. What it has not told the end of may have run, and has no result.
     pub(super) fn alone(&mut self) {
-        self.elsewhere_kb = 0.0;
-        self.share_memory();
+        self.elsewhere = Room::default();
+        self.share_room();
         for (key, holder) in std::mem::take(&mut self.foreign) {
             self.end_foreign(&key, holder, State::Failed);
         }
     }
 
-    /// Leaves the decision module the memory that the process before has not booked.
-    pub(super) fn share_memory(&mut self) {
+    /// Leaves the decision module the memory and the crowd on the cores that the process before does not take.
+    pub(super) fn share_room(&mut self) {
         let mut settings = self.site.settings.clone();
+        let Room { booked_kb, runs } = self.elsewhere;
         if settings.memory_kb > 0.0 {
-            settings.memory_kb = (settings.memory_kb - self.elsewhere_kb).max(1.0);
+            settings.memory_kb = (settings.memory_kb - booked_kb).max(1.0);
+        }
+        if settings.fall_multiple > 0.0 {
+            let each = f64::from(runs) / f64::from(settings.cores.max(1));
+            settings.fall_multiple = (settings.fall_multiple - each).max(1.0);
         }
-        // Settings that were accepted with more memory are accepted with less.
+        // Settings that were accepted with more room are accepted with less.
         let _ = self.controller.retune(settings);
     }
 }
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -14,7 +14,7 @@
 
 use crate::duty::MOST_DUTIES;
 use crate::duty::pass::{Carried, Passed};
-use crate::exchange::{Handed, HandedKey, Handle, Input, Turn};
+use crate::exchange::{Handed, HandedKey, Handle, Input, Room, Turn};
 use crate::frame::{receive, send};
 
 /// What one process says to the next.
@@ -24,6 +24,8 @@
     Key(HandedKey),
     /// From here on the next process serves.
     Turn(Turn),
+    /// Behind the turn, what this process still takes of the node's room.
+    Room(Room),
     /// A duty that goes with the session.
     Duty(Box<Carried>),
     /// The session of the node's duties, behind all of them.
@@ -35,6 +37,7 @@
         match handed {
             Handed::Key(key) => Self::Key(key),
             Handed::Turn(turn) => Self::Turn(turn),
+            Handed::Room(room) => Self::Room(room),
         }
     }
 }
@@ -66,6 +69,7 @@
                     let _ = turn.send(());
                 }
             }
+            Ok(Some(Said::Room(room))) => exchange.tell(Input::Handed(Handed::Room(room))).await,
             Ok(Some(Said::Duty(duty))) if duties.len() < MOST_DUTIES => duties.push(*duty),
             Ok(Some(Said::Duty(duty))) => warn!("{} is one duty too many", duty.fence.duty),
             Ok(Some(Said::Session(passed))) => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -544,6 +544,11 @@
         self.ledger.requests_kb
     }
 
+    /// Requests on the cores, and at calls from which they come back there.
+    pub fn runs(&self) -> u32 {
+        self.running + self.parked
+    }
+
     /// Takes all that has happened up to `now` (ms) and appends what is to be done, in order.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
         if now.is_finite() && (self.started_at.is_none() || now > self.now) {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -110,6 +110,37 @@
     assert_eq!(new.processor.count("begin"), 0);
 }
 
+#[rstest]
+fn two_processes_together_keep_to_the_crowd_that_the_cores_survive() {
+    // Of four runs, two on each of two cores, a part is kept free.
+    let (mut old, mut front) = held_with(|config| config["settings"]["rules"]["fall-multiple"] = json!(2.0));
+    for tag in [1, 2] {
+        pay(&mut front, tag, &format!("old-{tag}"));
+        assert_eq!(old.processor.begun(), try_id(tag));
+    }
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.reported("Ready");
+    let mut next = FrontEnd::connect(&new.resp);
+    for tag in [11, 12] {
+        pay(&mut next, tag, &format!("new-{tag}"));
+    }
+    let first = new.processor.begun();
+    // Answers to checks come behind whatever was decided of what came before.
+    (0..10).for_each(|_| drop(next.answer_to_status()));
+    assert_eq!(new.processor.count("begin"), 0, "three of them are enough");
+    // As runs end over there, there is room here; the old process has not ended by then.
+    old.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+    let second = new.processor.begun();
+    old.processor.complete(&try_id(2), b"second");
+    assert_eq!(front.answer().body, b"second");
+    for id in [first, second] {
+        new.processor.complete(&id, b"next");
+        assert_eq!(next.answer().body, b"next");
+    }
+}
+
 #[rstest]
 fn a_process_that_ends_without_a_word_is_followed_at_once() {
     let (mut old, _) = held();
