Measure serving beside the fleet's parts at full load, and rule subjects out by pairs

Change: make measure-beside, two nodes pinned to one core, asked in turn by eight callers each with one request after the other, one in a fleet of six and one alone.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: build test lint run measure-knowledge measure-store measure-view measure-copies measure-duties \
-	measure-verdicts measure-partners
+	measure-verdicts measure-partners measure-beside
 
 build:
 	cargo build --release --locked
@@ -50,3 +50,7 @@
 measure-partners:
 	SETS=$(or $(SETS),1000) cargo bench --locked --bench partners
 	COUNT=$(or $(COUNT),200) cargo test --locked --test partners_rules -- --nocapture
+# What a node's part in a fleet costs its callers, on one core at full load, beside a node alone. PART=fleet, duties, votes or
+# copies measures one; ROUNDS=N turns of each.
+measure-beside:
+	cargo bench --locked --bench beside
--- a/src/partners/lookup.rs
+++ b/src/partners/lookup.rs
@@ -75,13 +75,12 @@
 #[derive(Clone, Debug)]
 enum Pair {
     /// In the order of choice; the subjects once more by themselves, since they rule most out and are short to read.
-    Few {
-        subjects: Arc<[Subjects]>,
-        entries: Arc<[Entry]>,
-    },
+    Few { subjects: Arc<[Subjects]>, entries: Arc<[Entry]> },
     Many {
         forms: Arc<[Form]>,
         matches: usize,
+        /// From the first subject that any of them had to the last, since they were few: one beyond is looked for in none.
+        bounds: Subjects,
     },
 }
 
@@ -112,6 +111,14 @@
         if let Self::Many { forms, .. } = self { forms } else { &[] }
     }
 
+    /// Those that may have a route for a subject.
+    fn many_for(&self, subject: u64) -> &[Form] {
+        match self {
+            Self::Many { forms, bounds, .. } if bounds.contains(subject) => forms,
+            _ => &[],
+        }
+    }
+
     fn get(&self, net: Option<IpNet>, subjects: Subjects) -> Option<&Arc<[Held]>> {
         let is_it = |entry: &&Entry| entry.net == net && entry.ranged.subjects == subjects;
         if let Self::Few { entries, .. } = self {
@@ -126,7 +133,8 @@
         let held = (!held.is_empty()).then(|| Arc::from(held));
         match self {
             Self::Few { entries, .. } => *self = Self::of_few(put_few(entries, net, subjects, held)),
-            Self::Many { forms, matches } => {
+            Self::Many { forms, matches, bounds } => {
+                *bounds = around(*bounds, subjects);
                 *matches = *matches + usize::from(held.is_some())
                     - usize::from(put_many(forms, net, subjects, held));
             }
@@ -139,11 +147,12 @@
     }
 
     fn become_many(&mut self) {
-        let mut forms: Arc<[Form]> = Arc::default();
+        let (mut forms, mut bounds) = (Arc::default(), NONE);
         for Entry { net, ranged } in self.few().1 {
             put_many(&mut forms, *net, ranged.subjects, Some(ranged.held.clone()));
+            bounds = around(bounds, ranged.subjects);
         }
-        *self = Self::Many { matches: self.len(), forms };
+        *self = Self::Many { matches: self.len(), forms, bounds };
     }
 
     fn become_few(&mut self) {
@@ -169,11 +178,20 @@
                 subjects.contains(subject) && entry.net.is_none_or(|net| net.contains(&address))
             })
             .map(|(_, entry)| &entry.ranged);
-        let nets = self.many().iter().filter_map(move |form| form.nets.get(bits(form.prefix, address)?));
+        let forms = self.many_for(subject).iter();
+        let nets = forms.filter_map(move |form| form.nets.get(bits(form.prefix, address)?));
         few.chain(nets.flat_map(move |ranges| ranges.found(subject)))
     }
 }
 
+/// No subject is within these.
+const NONE: Subjects = Subjects { first: u64::MAX, last: 0 };
+
+/// The least that has both in it.
+fn around(one: Subjects, other: Subjects) -> Subjects {
+    Subjects { first: one.first.min(other.first), last: one.last.max(other.last) }
+}
+
 /// The network's own address; any for none.
 fn address_of(net: Option<IpNet>) -> IpAddr {
     net.map_or(IpAddr::from([0, 0, 0, 0]), |net| net.network())
--- a/src/partners/ranges.rs
+++ b/src/partners/ranges.rs
@@ -172,58 +172,47 @@
 
 /// Routes by their ranges of subjects. A clone is a snapshot.
 #[derive(Clone, Debug)]
-pub(super) struct Ranges {
-    root: Node,
-    /// From the first subject in any of them to the last: one beyond both is looked for in none.
-    bounds: Subjects,
-}
-
-/// No subject is within these.
-const NONE: Subjects = Subjects { first: u64::MAX, last: 0 };
+pub(super) struct Ranges(Node);
 
 impl Default for Ranges {
     fn default() -> Self {
-        Self { root: Node::leaf(Vec::new()), bounds: NONE }
+        Self(Node::leaf(Vec::new()))
     }
 }
 
 impl Ranges {
     pub(super) fn is_empty(&self) -> bool {
-        self.root.len() == 0
+        self.0.len() == 0
     }
 
     /// The routes for just these subjects.
     pub(super) fn get(&self, subjects: Subjects) -> Option<&Arc<[Held]>> {
-        self.root.get(subjects)
+        self.0.get(subjects)
     }
 
     /// Has these routes for just these subjects, or none; whether there were any before.
     pub(super) fn put(&mut self, subjects: Subjects, held: Option<Arc<[Held]>>) -> bool {
         let before = self.get(subjects).is_some();
-        let mut nodes = self.root.with(subjects, held);
-        self.root = match nodes.len() {
+        let mut nodes = self.0.with(subjects, held);
+        self.0 = match nodes.len() {
             0 => Node::leaf(Vec::new()),
             1 => nodes.remove(0),
             _ => Node::Branch(nodes.into_iter().filter_map(Child::of).collect()),
         };
-        while let Node::Branch(children) = &self.root
+        while let Node::Branch(children) = &self.0
             && let [only] = children.as_ref()
         {
-            self.root = only.node.clone();
+            self.0 = only.node.clone();
         }
-        let whole = Child::of(self.root.clone());
-        self.bounds = whole.map_or(NONE, |whole| Subjects { first: whole.least.first, last: whole.last });
         before
     }
 
     /// Those with a subject in them, the narrowest first.
     pub(super) fn found(&self, subject: u64) -> impl Iterator<Item = &Ranged> {
-        let (within, mut than) = (self.bounds.contains(subject), None);
+        let mut than = None;
         std::iter::from_fn(move || {
             let mut found = None;
-            if within {
-                self.root.narrowest(subject, than, &mut found);
-            }
+            self.0.narrowest(subject, than, &mut found);
             than = found.map(Ranged::rank);
             found
         })
@@ -231,6 +220,6 @@
 
     /// Looks at all.
     pub(super) fn each<'a>(&'a self, what: &mut impl FnMut(&'a Ranged)) {
-        self.root.each(what);
+        self.0.each(what);
     }
 }
--- a/tests/rig/verdicts.rs
+++ b/tests/rig/verdicts.rs
@@ -553,9 +553,13 @@
 impl Rig {
     /// The operator's file of a node that votes.
     pub fn votes_table(&self, n: usize, site: &Site) -> String {
+        self.fleet_table(n, n % site.zones) + &self.votes_part(n, site)
+    }
+
+    /// What of it is beside the fleet's table.
+    pub fn votes_part(&self, n: usize, site: &Site) -> String {
         let zone = n % site.zones;
-        let mut file = self.fleet_table(n, zone);
-        file += &format!(
+        let mut file = format!(
             "[duties]\nlease_ms = {LEASE_MS}\ncold_ms = 0\n[verdicts]\nport = {VERDICTS}\n{}",
             site.more
         );
