--- a/benches/verdicts/main.rs
+++ b/benches/verdicts/main.rs
@@ -193,6 +193,11 @@
     let removed: usize = all.iter().map(|seen| seen.removed.len()).sum();
     report.plain("hours of bursts, releases, cold starts and cut zones", hours * all.len() as f64);
     report.plain("removals in them, for the zone that was cut off", removed as f64);
+    let crowded: usize = all.iter().map(|seen| seen.crowded).sum();
+    report.plain(
+        "removals of servers that had too much in hand, and were over half slower for it",
+        crowded as f64,
+    );
     report.most("false removals in them", wrong(&all), 0.0);
 }
 
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -23,7 +23,7 @@
 
 pub use fence::{Fence, Guard, Stale};
 pub use hold::{Held, Lost};
-pub use vouch::{Vouched, Voucher};
+pub use vouch::{Unproved, Vouched, Voucher};
 
 /// Bytes of a duty's name at the most.
 pub const MOST_NAME: usize = 128;
--- a/src/duty/vouch.rs
+++ b/src/duty/vouch.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 use tokio::time::timeout;
 
 use super::DutyName;
@@ -28,6 +29,21 @@
     Unknown,
 }
 
+/// Why a node's word that it holds a duty is not gone by.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Unproved {
+    /// The number was another's, or is over.
+    #[error("the store says that it does not")]
+    Not,
+    /// No such number was given, as far as those members have heard that answer.
+    #[error("the store has given no such number")]
+    Unknown,
+    /// No member answers; why the last one does not.
+    #[error("the store is not heard: {0}")]
+    Unheard(String),
+}
+
 impl Table {
     /// What this member knows of a node's word that it holds a duty under a number.
     pub fn vouch(&self, duty: &DutyName, number: u64, node: &str) -> Vouched {
@@ -55,12 +71,22 @@
 }
 
 impl Voucher {
-    /// Asks the members in turn, from one drawn at random on, until one knows: a member that lags has not heard of the
-    /// latest number, so its word counts only where no other answers.
+    /// Whether a node holds the duty under a number, by the word of the members.
     ///
     /// # Errors
-    /// No member answers; why the last one does not.
-    pub async fn ask(&self, number: u64, node: &str) -> Result<Vouched, String> {
+    /// It does not, or that is not known.
+    pub async fn proves(&self, number: u64, node: &str) -> Result<(), Unproved> {
+        match self.ask(number, node).await {
+            Ok(Vouched::Holds) => Ok(()),
+            Ok(Vouched::Not) => Err(Unproved::Not),
+            Ok(Vouched::Unknown) => Err(Unproved::Unknown),
+            Err(problem) => Err(Unproved::Unheard(problem)),
+        }
+    }
+
+    /// Asks the members in turn, from one drawn at random on, until one knows: a member that lags has not heard of the
+    /// latest number, so its word counts only where no other answers.
+    async fn ask(&self, number: u64, node: &str) -> Result<Vouched, String> {
         if planted::is(Planted::HolderUnproved) {
             return Ok(Vouched::Holds);
         }
--- a/src/partners/follow.rs
+++ b/src/partners/follow.rs
@@ -13,7 +13,7 @@
 use super::asking::{Asked, FLEET, Feed};
 use super::board::NotTaken;
 use super::fetch::{Answer, Line, pause};
-use super::site::Site;
+use super::site::{Doubted, NotFollowed, Site};
 use crate::fleet::view::View;
 
 /// How long an answer may wait for something new.
@@ -54,11 +54,7 @@
                 continue;
             };
             if let Err(why) = check(&site, &view, &feed, address).await {
-                let Feed { by, version, .. } = &feed;
-                warn!(
-                    "partners: {address} tells as {by} under number {}, which is not followed: {why}",
-                    version.term
-                );
+                site.doubt(Doubted { at: address, by: feed.by, number: feed.version.term, why });
                 continue;
             }
             match site.take(feed, address).await {
@@ -81,12 +77,17 @@
 
 /// Whether what is told is the holder's: it comes from the address that the view has for that node, and the store vouches
 /// for its number.
-async fn check(site: &Site, view: &watch::Receiver<View>, feed: &Feed, at: SocketAddr) -> Result<(), String> {
+async fn check(
+    site: &Site,
+    view: &watch::Receiver<View>,
+    feed: &Feed,
+    at: SocketAddr,
+) -> Result<(), NotFollowed> {
     let known = view.borrow().get(&feed.by).is_some_and(|node| node.applicant.address.ip() == at.ip());
     if !known {
-        return Err("that node is at another address".to_owned());
+        return Err(NotFollowed::Elsewhere);
     }
-    site.vouch(&feed.by, feed.version.term).await
+    Ok(site.vouch(&feed.by, feed.version.term).await?)
 }
 
 /// Whom to ask for the merged table: the one that told it last, or some of the nodes.
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -31,7 +31,7 @@
 use crate::fleet::view::View;
 use crate::planted::{self, Planted};
 
-pub use super::site::{Report, Shown};
+pub use super::site::{Doubted, NotFollowed, Report, Shown};
 
 /// How long an answer may wait for something new.
 const WAIT: Duration = Duration::from_secs(1);
@@ -124,6 +124,7 @@
         asking: BTreeMap::new(),
         holder: None,
         heard: now.own,
+        doubted: None,
     };
     let duty = DutyName::new(table.duty.clone()).map_err(io::Error::other)?;
     let site = Rc::new(Site {
--- a/src/partners/site.rs
+++ b/src/partners/site.rs
@@ -25,9 +25,11 @@
 use crate::config::{PartnersTable, SiteTable};
 use crate::duty::hold::Held;
 use crate::duty::lease::now_ms;
-use crate::duty::{Fence, Guard, Vouched, Voucher};
+use crate::duty::{Fence, Guard, Unproved, Voucher};
 use crate::planted::{self, Planted};
 
+/// How long a node that is not followed is shown, in ms.
+const DOUBTED_MS: u64 = 600_000;
 /// How often it is shown how the node stands, in ms.
 const SHOW_MS: u64 = 300;
 
@@ -59,6 +61,9 @@
     pub holds: bool,
     /// The version of the merged table.
     pub version: Version,
+    /// The last node that told a table as the holder and is not followed, of the last ten minutes.
+    #[serde(default)]
+    pub doubted: Option<Doubted>,
     /// How long ago it was heard from the holder, in ms.
     pub heard_ms: u64,
     /// Its routes.
@@ -67,6 +72,31 @@
     pub partners: Vec<Shown>,
 }
 
+/// Why a node that tells as the holder is not followed.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum NotFollowed {
+    /// The view has the node of that name at another address.
+    #[error("that node is at another address")]
+    Elsewhere,
+    /// The store does not vouch for it.
+    #[error("{0}")]
+    Unproved(#[from] Unproved),
+}
+
+/// A node that tells a table as the holder and is not followed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubted {
+    /// Where it is.
+    pub at: SocketAddr,
+    /// The name that it goes by.
+    pub by: String,
+    /// The number of the duty that it tells under.
+    pub number: u64,
+    /// Why it is not followed.
+    pub why: NotFollowed,
+}
+
 /// Why a question is not answered.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum NotAnswered {
@@ -92,6 +122,8 @@
     /// Where the holder was found, and when it was last heard.
     pub(super) holder: Option<SocketAddr>,
     pub(super) heard: u64,
+    /// Who was not followed last, and when that was found.
+    pub(super) doubted: Option<(u64, Doubted)>,
 }
 
 impl Inside {
@@ -295,6 +327,11 @@
             holder: board.by().to_owned(),
             holds: leading.is_some(),
             version: board.version(),
+            doubted: inside
+                .doubted
+                .as_ref()
+                .filter(|(at, _)| now.own - at <= DOUBTED_MS)
+                .map(|(_, one)| one.clone()),
             heard_ms: if leading.is_some() { 0 } else { now.own.saturating_sub(inside.heard) },
             routes: board.merged().index().len(),
             partners: board.partners().iter().map(line).collect(),
@@ -326,22 +363,26 @@
     /// a number that somebody has made up would shut out all others for ever.
     ///
     /// # Errors
-    /// It does not, or that is not known; why.
-    pub(super) async fn vouch(&self, by: &str, number: u64) -> Result<(), String> {
+    /// It does not, or that is not known.
+    pub(super) async fn vouch(&self, by: &str, number: u64) -> Result<(), Unproved> {
         let known = {
             let inside = self.inside.borrow();
             let seen = inside.board.version().term;
             // What is below is turned down in any case.
             number < seen || number == seen && inside.board.by() == by
         };
-        if known {
-            return Ok(());
-        }
-        match self.voucher.ask(number, by).await? {
-            Vouched::Holds => Ok(()),
-            Vouched::Not => Err("the store says that it does not".to_owned()),
-            Vouched::Unknown => Err("the store has given no such number".to_owned()),
+        if known { Ok(()) } else { self.voucher.proves(number, by).await }
+    }
+
+    /// Notes why a node is not followed, with one line of the log for each that is new.
+    pub(super) fn doubt(&self, doubted: Doubted) {
+        let mut inside = self.inside.borrow_mut();
+        if inside.doubted.as_ref().is_some_and(|(_, known)| *known == doubted) {
+            return;
         }
+        let Doubted { at, by, number, why } = &doubted;
+        warn!("partners: {at} tells as {by} under number {number}, which is not followed: {why}");
+        inside.doubted = Some((now().own, doubted));
     }
 
     /// A node follows what the holder tells. All of a table is taken beside the thread, from a copy of the board.
--- a/src/verdict/claims.rs
+++ b/src/verdict/claims.rs
@@ -4,10 +4,15 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::wire::Holder;
+use crate::duty::Unproved;
 
 /// How long a teller's next claim waits once the store was asked about one, in ms.
 pub const AGAIN_MS: f64 = 500.0;
+/// How long a claim that is not gone by is shown to operators, in ms.
+pub const SHOWN_MS: f64 = 600_000.0;
 
 /// What becomes of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,10 +27,23 @@
     New,
 }
 
+/// A claim that is not gone by.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubted {
+    /// Who has made it: the node itself, or one that names another.
+    pub teller: String,
+    /// Who is said to count.
+    pub holder: Holder,
+    /// Why it is not gone by.
+    pub why: Unproved,
+}
+
 /// The holder that this node goes by, and who has made claims lately.
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
     holder: Option<Holder>,
+    /// The last claim that was not gone by, and when that was found, in ms.
+    doubted: Option<(f64, Doubted)>,
     /// Until when further claims of a teller wait, in ms.
     waits: BTreeMap<String, f64>,
 }
@@ -36,6 +54,16 @@
         self.holder.as_ref()
     }
 
+    /// The last claim that was not gone by, for [`SHOWN_MS`].
+    pub fn doubted(&self, now: f64) -> Option<&Doubted> {
+        self.doubted.as_ref().filter(|(at, _)| now - at <= SHOWN_MS).map(|(_, doubted)| doubted)
+    }
+
+    /// A claim is not gone by.
+    pub fn doubt(&mut self, now: f64, doubted: Doubted) {
+        self.doubted = Some((now, doubted));
+    }
+
     /// Hears a claim. `seen` is the highest number of which a list was applied, over all starts.
     pub fn hear(&mut self, now: f64, seen: u64, teller: &str, claim: &Holder) -> Heard {
         if self.holder.as_ref() == Some(claim) {
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 use super::asking::MOST_ASKED;
-use super::claims::{Claims, Heard};
+use super::claims::{Claims, Doubted, Heard};
 use super::evidence::{Evidence, send_every_ms};
 use super::holder::Counting;
 use super::holding::{Kept, Terms};
@@ -29,7 +29,7 @@
 use super::wire::Holder;
 use super::{door, holder, voter};
 use crate::duty::lease::now_ms;
-use crate::duty::{Held, Vouched, Voucher};
+use crate::duty::{Held, Unproved, Voucher};
 use crate::fleet::view::{Node, View};
 use crate::partners::lookup::InForce;
 
@@ -92,6 +92,9 @@
     pub counts: bool,
     /// Who counts, as it was told last.
     pub holder: Option<Holder>,
+    /// The last word that somebody counts which it does not go by, of the last ten minutes.
+    #[serde(default)]
+    pub doubted: Option<Doubted>,
     /// The number of the list that it follows.
     pub list: Number,
     /// How long ago that was confirmed, in ms; none before the first list.
@@ -167,23 +170,20 @@
 }
 
 /// Asks the store whether a node counts that says so, or that another one says it of. The member that is asked may lag
-/// behind the one that gave the duty.
+/// behind the one that gave the duty, so what it does not know is asked again.
 async fn ask_store(seat: Rc<Seat>, teller: String, holder: Holder) {
-    let mut why = String::new();
-    for _ in 0..ASKED {
-        match seat.options.voucher.ask(holder.fence, &holder.name).await {
-            Ok(Vouched::Holds) => return seat.go_by(holder),
-            Ok(Vouched::Not) => {
-                why = "the store says that it does not".to_owned();
-                break;
-            }
-            Ok(Vouched::Unknown) => why = "the store has given no such number".to_owned(),
-            Err(problem) => why = format!("the store is not heard: {problem}"),
+    let mut asked = 0;
+    let why = loop {
+        asked += 1;
+        match seat.options.voucher.proves(holder.fence, &holder.name).await {
+            Ok(()) => return seat.go_by(holder),
+            Err(Unproved::Unknown | Unproved::Unheard(_)) if asked < ASKED => sleep(ASKED_AGAIN).await,
+            Err(why) => break why,
         }
-        sleep(ASKED_AGAIN).await;
-    }
-    let Holder { fence, name } = holder;
+    };
+    let Holder { fence, name } = &holder;
     warn!("verdicts: {teller} says that {name} counts under number {fence}, which is not gone by: {why}");
+    seat.claims.borrow_mut().doubt(seat.now(), Doubted { teller, holder, why });
 }
 
 /// How this node's own evidence fares.
@@ -334,6 +334,7 @@
         let mut report = Report {
             counts: false,
             holder: self.holder(),
+            doubted: self.claims.borrow().doubted(now).cloned(),
             list: guard.seen(),
             heard_ms: guard.heard_ms(now).map(|ms| ms as u64),
             in_force: list.is_some(),
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -15,6 +15,7 @@
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
 use serde_json::json;
+use sillflow::duty::Unproved;
 use sillflow::verdict::cap::{Limits, Member, Reason};
 use sillflow::verdict::count::{Kind, Outlier, Planted, Rules, Scope};
 use sillflow::verdict::evidence::{Counts, Evidence, Item, Life, Voter};
@@ -275,6 +276,8 @@
                 && votes.holder.is_some_and(|holder| holder.name == format!("n{new}"))
         })
     });
+    let doubted = |n: &usize| rig.votes(*n).and_then(|votes| votes.doubted).map(|doubted| doubted.why);
+    assert!(rest.iter().all(|n| doubted(n) == Some(Unproved::Unknown)), "it is shown who is not gone by");
     let since = site.now_ms();
     until("each calls the good one", PATIENCE, || rest.iter().all(|n| site.calls(1, since, &[*n]) > 0));
     site.holds();
