--- a/tests/duties_rules.rs
+++ b/tests/duties_rules.rs
@@ -78,11 +78,9 @@
     let vouch = |table: &Table, number, node: &str| table.vouch(&name(0), number, node);
     assert_eq!(vouch(&table, number, &node), Vouched::Holds);
     assert_eq!(vouch(&table, number, &other), Vouched::Not);
-    // A member that lags does not know of the latest number yet, nor of the latest duty.
     assert_eq!(vouch(&table, number + 1, &node), Vouched::Unknown);
     assert_eq!(vouch(&table, u64::MAX, &other), Vouched::Unknown);
     assert_eq!(table.vouch(&name(7), number, &node), Vouched::Unknown);
-    // It is the next one's, and what was before is over.
     expire(&mut table, by);
     let (next, after) = held(&table);
     assert!(next > number && after != by);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -129,7 +129,6 @@
     // Answers to checks come behind whatever was decided of what came before.
     (0..10).for_each(|_| drop(next.answer_to_status()));
     assert_eq!(new.processor.count("begin"), 0, "three of them are enough");
-    // As runs end over there, there is room here; the old process has not ended by then.
     old.processor.complete(&try_id(1), b"first");
     assert_eq!(front.answer().body, b"first");
     let second = new.processor.begun();
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -229,14 +229,13 @@
     let (good, bad) = (site.address(1), site.address(0));
     site.ill(0, None);
     site.servers[0].die();
-    let took = until("the dead one is removed", REMOVED, || {
+    until("the dead one is removed", REMOVED, || {
         if let Some(holder) = rig.counts(&honest) {
             lying.iter_mut().for_each(|liar| _ = liar.says(&rig, &site, holder, lies(good, bad)));
         }
         assert!(honest.iter().all(|n| rig.lists(*n, good).is_none()), "the good one stays");
         honest.iter().all(|n| rig.lists(*n, bad).is_some())
     });
-    eprintln!("removed at {HONEST} nodes after {took:?}, with two liars");
     site.holds();
 }
 
