Install signal handlers ahead of reading the configuration

Cause: node::run installed the handlers after Config::from_env had read the files (main.rs, serve), so that a SIGHUP or SIGTERM that came meanwhile ended the process by the system's default.

Change: Signals::install is the first step inside the runtime; the signals wait until the node gets to them.

Ruled out: a notice to leave between the bind and the first accept.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 use clap::{Parser, Subcommand};
 use log::error;
 use sillflow::config::{Config, Operator};
+use sillflow::node::Signals;
 use sillflow::peers::wire::{Subject, Told, answer_bytes};
 use sillflow::store::{Change, Query};
 use sillflow::{haproxy, node, peers};
@@ -120,9 +121,12 @@
 }
 
 fn serve() -> Result<(), Failure> {
-    let config = Config::from_env()?;
-    runtime()?.block_on(LocalSet::new().run_until(node::run(config)))?;
-    Ok(())
+    runtime()?.block_on(LocalSet::new().run_until(async {
+        // Ahead of all else: a signal that has no handler yet ends the process.
+        let signals = Signals::install()?;
+        node::run(Config::from_env()?, signals).await?;
+        Ok(())
+    }))
 }
 
 fn check(file: &Path) -> Result<(), Failure> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -69,14 +69,33 @@
     Settings(#[from] SettingsError),
 }
 
+/// The signals that a node follows. One that comes before they are installed ends the process.
+pub struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers. A signal that comes from here on waits until the node gets to it.
+    ///
+    /// # Errors
+    /// A handler cannot be had.
+    pub fn install() -> io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 /// Runs a node until it has been told to leave and has left.
 ///
 /// # Errors
 /// It cannot listen, or its settings are not accepted.
-pub async fn run(config: Config) -> Result<(), NodeError> {
-    let hangup = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+pub async fn run(config: Config, signals: Signals) -> Result<(), NodeError> {
+    let Signals { hangup, mut terminate, mut interrupt } = signals;
     let listener = match config.inherited {
         Some(descriptor) => inherit::listener(descriptor)?,
         None => TcpListener::bind(config.listen).await?,
