Keep the processor's link through spoilt notices, early breaks and reloads

Cause, three in back/processor.rs: a numbered notice that cannot be read (read_notices) ended its link uncounted, so each further link brought it again and broke on it, and no run ended any more; links that break as soon as they are up were taken up after 10 ms for good, a hundred attempts and log lines a second (keep); a reload during an attempt to connect waited for the old address, up to a second.

Change: such a notice is counted by its number, and the run whose end it tells fails at once; the link still ends, and the next goes on behind it. After a link with no new notice that lasted under a second the wait doubles as after a failed attempt. An attempt ends when its address is no longer in force.

--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use winnow::combinator::terminated;
 use winnow::error::{ContextError, ErrMode};
 use winnow::token::take_till;
@@ -30,6 +30,10 @@
 const WRITE_BATCH: usize = 64;
 const OUT_BYTES: usize = 64 * 1024;
 
+/// A link that lasted this long was of use though no notice came on it. After one that was of none the next attempt waits
+/// longer: guards the log and the processor against links that break as soon as they are up.
+const LASTING: Duration = Duration::from_secs(1);
+
 /// Why a link is given up.
 #[derive(Debug, Error)]
 enum Broken {
@@ -114,6 +118,15 @@
     Unknown,
 }
 
+/// What is needed of a notice that cannot be read as a whole.
+#[derive(Deserialize)]
+struct Numbered {
+    op: String,
+    seq: u64,
+    #[serde(default)]
+    id: String,
+}
+
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum End {
@@ -175,12 +188,19 @@
         let mut wait = Duration::ZERO;
         loop {
             let address = self.peers.borrow_and_update().processor;
-            let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+            let connected = tokio::select! {
+                biased;
+                // An address that takes no connection is not waited for once it is not in force any more.
+                () = moved(&mut self.peers, address) => continue,
+                connected = timeout(CONNECT, TcpStream::connect(address)) => connected,
+            };
             match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
                 Ok(stream) => {
+                    let (since, seq) = (Instant::now(), self.seq);
                     let broken = self.use_link(stream).await;
                     self.log_end(&broken);
-                    wait = RETRY.0;
+                    let was_of_use = self.seq > seq || since.elapsed() >= LASTING;
+                    wait = if was_of_use { RETRY.0 } else { next_retry(wait) };
                 }
                 Err(problem) => {
                     warn!("the processor cannot be reached: {problem}");
@@ -277,7 +297,13 @@
         loop {
             let mut input = Partial::new(&buffer[..]);
             let (notice, length) = match line(&mut input) {
-                Ok(text) => (serde_json::from_slice(text)?, text.len() + 1),
+                Ok(text) => match serde_json::from_slice(text) {
+                    Ok(notice) => (notice, text.len() + 1),
+                    Err(problem) => {
+                        self.pass_over(text).await;
+                        return Err(problem.into());
+                    }
+                },
                 Err(ErrMode::<ContextError>::Incomplete(_)) if buffer.len() <= LINE_BYTES => return Ok(()),
                 Err(_) => return Err(Broken::Long),
             };
@@ -286,6 +312,20 @@
         }
     }
 
+    /// Counts a notice that cannot be read, so that the next link does not bring it again, and fails the run whose end it
+    /// tells: what came of that is not known. One without a number is left to the next link.
+    async fn pass_over(&mut self, text: &[u8]) {
+        let Ok(Numbered { op, seq, id }) = serde_json::from_slice(text) else { return };
+        let Some(of) = TryId::parse(id.as_bytes()) else {
+            self.seq = self.seq.max(seq);
+            return;
+        };
+        if self.is_new(seq, of) && op == "complete" {
+            let (outcome, result) = (Outcome::Error, Bytes::new());
+            self.exchange.tell(Input::RunEnded { of, outcome, took_ms: 0.0, result }).await;
+        }
+    }
+
     async fn take(&mut self, notice: Notice) {
         let input = match notice {
             Notice::Hi { end, ms } => {
