Let no idle connection hold the place that a call waits for

Cause: connections to the records service hold one of a bounded number of places while they are idle (records/mod.rs, connect), and a call with effects always takes a new one. With all places idle it waited until one had rested for 8 s, mostly past the time of its request. Few descriptors make few places.

Change: a call that finds no place ends the connection that has been idle for longest, and none comes to rest while a call waits.

--- a/src/back/records/mod.rs
+++ b/src/back/records/mod.rs
@@ -6,7 +6,7 @@
 pub mod sites;
 mod usual;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -150,6 +150,22 @@
     hand_over: oneshot::Sender<Timed>,
 }
 
+/// A call that waits for a place, counted until it has one or ends.
+struct Waits(Rc<Cell<usize>>);
+
+impl Waits {
+    fn new(waiting: &Rc<Cell<usize>>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting.clone())
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The calls' side of the proxy to the tier below.
 #[derive(Clone)]
 pub struct Records {
@@ -163,6 +179,8 @@
     exchange: Handle,
     idle: Rc<RefCell<Vec<Idle>>>,
     room: Arc<Semaphore>,
+    /// Calls that wait for a place.
+    waiting: Rc<Cell<usize>>,
     usual: Rc<RefCell<Usual>>,
     repeats: Rc<RefCell<RetryBudget>>,
 }
@@ -186,6 +204,7 @@
             exchange,
             idle: Rc::default(),
             room: Arc::new(Semaphore::new(most)),
+            waiting: Rc::default(),
             usual: Rc::default(),
             repeats: Rc::new(RefCell::new(RetryBudget::new(REPEATS))),
         }
@@ -301,7 +320,8 @@
             let reusable = self.make(&mut stream, address, call).await;
             self.idle.borrow_mut().retain(|idle| !idle.hand_over.is_closed());
             let wanted = self.is_in_force(address, by_route) && self.idle.borrow().len() < self.kept;
-            if !reusable || !wanted {
+            // One that would rest gives its place to a call that waits for one.
+            if !reusable || !wanted || self.waiting.get() > 0 {
                 return;
             }
             match self.rest(&stream, address, !to_server).await {
@@ -316,7 +336,7 @@
         address: SocketAddr,
         to_server: bool,
     ) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
-        let room = self.room.clone().acquire_owned().await.map_err(io::Error::other)?;
+        let room = self.place_for_one().await?;
         // The wait for room above is no fault of the server's.
         let connected = TcpStream::connect(address);
         let stream = if to_server { timeout(CONNECT, connected).await?? } else { connected.await? };
@@ -326,6 +346,22 @@
         Ok((stream, room))
     }
 
+    /// A place for a further connection. Where there is none, the one that has been idle for longest ends.
+    async fn place_for_one(&self) -> io::Result<OwnedSemaphorePermit> {
+        if let Ok(place) = self.room.clone().try_acquire_owned() {
+            return Ok(place);
+        }
+        let _waits = Waits::new(&self.waiting);
+        {
+            let mut idle = self.idle.borrow_mut();
+            idle.retain(|idle| !idle.hand_over.is_closed());
+            if !idle.is_empty() {
+                idle.remove(0);
+            }
+        }
+        self.room.clone().acquire_owned().await.map_err(io::Error::other)
+    }
+
     /// Gives a call that never ran to a new connection: others that are idle may be forgotten as well.
     fn again(self, call: Timed) {
         let chosen = call.leg.as_ref().map(Leg::address);
