Divide few descriptors so that links and calls find theirs

Cause: clients got five eighths (and a sixteenth while others leave), calls a quarter and operators 32 whatever the limit (node.rs). With 64 descriptors that is 42, 16 and 34 beside 17 for all else: idle clients left 4, and calls could not be made.

Change: config/descriptors.rs divides them: all else first, clients never under the half that front ends may open, calls a quarter or what is left, operators a sixteenth up to 32. With 1024 all have what they had.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 
 mod copies;
 mod course;
+mod descriptors;
 mod duties;
 mod fault;
 mod operator;
@@ -26,6 +27,7 @@
 
 pub use copies::{CopiesTable, Late};
 pub use course::{RoutesFile, RoutesTable};
+pub use descriptors::Descriptors;
 pub use duties::{BeatTable, DutiesTable};
 pub use fault::Fault;
 pub use operator::{Ajp, FleetTable, Operator, Peer, StoreOptions};
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -20,7 +20,9 @@
 use crate::exchange::{Handle, Input};
 
 /// Operators are few: when all places are taken, the one that has been silent for longest leaves.
-pub const ROOM: Room = Room { most: 32, spares: Duration::ZERO };
+pub fn room(most: usize) -> Room {
+    Room { most, spares: Duration::ZERO }
+}
 /// Bytes of a call's head that are read at the most, and of a body, which nothing is made of.
 const HEAD_BYTES: usize = 8 * 1024;
 const BODY_BYTES: usize = 64 * 1024;
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,7 +17,9 @@
 
 use crate::back::records::sites::Sites;
 use crate::back::{control, processor, records};
-use crate::config::{Config, ConfigError, CopiesTable, Operator, Peers, RecordsTable, RoutesTable};
+use crate::config::{
+    Config, ConfigError, CopiesTable, Descriptors, Operator, Peers, RecordsTable, RoutesTable,
+};
 use crate::copies::News;
 use crate::copies::slots::Terms;
 use crate::duty::pass::Passed;
@@ -114,7 +116,7 @@
     let routes = config.operator.records.as_ref().map(|table| Routes::new(table, config.seed));
     let in_force = in_force(&config.operator)?;
     let sites = in_force.as_ref().map(|in_force| sites(&config, in_force, routes.clone()));
-    let most = config.sockets / 4;
+    let most = Descriptors::of(config.sockets).calls;
     let records = records::Records::new(peers.clone(), routes.clone(), sites, handle.clone(), most);
     spawn_local(records.serve(servers.calls));
     let (publish, published) = watch::channel(config.published()?);
@@ -446,11 +448,12 @@
 /// Opens the operators' door, which stays open to the end.
 async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> io::Result<()> {
     let listener = TcpListener::bind(admin).await?;
+    let most = Descriptors::of(config.sockets).operators;
     info!("{} listens for operators on {}", config.name, listener.local_addr()?);
     let shared = Shared::new(exchange, CancellationToken::new());
     let of_all = shared.clone();
     let connection = move |stream, seat| front::admin::connection(stream, of_all.clone(), seat);
-    spawn_local(front::serve(listener, front::admin::ROOM, shared, connection));
+    spawn_local(front::serve(listener, front::admin::room(most), shared, connection));
     Ok(())
 }
 
@@ -589,8 +592,7 @@
 /// Starts the platform's front and, where the operator has set it up, the one for AJP.
 async fn fronts(config: &Config, listener: TcpListener, shared: Rc<Shared>) -> io::Result<JoinSet<()>> {
     let mut fronts = JoinSet::new();
-    // Front ends use up to half of the descriptors; the rest is for the links and the store.
-    let most = config.sockets * 5 / 8;
+    let most = Descriptors::of(config.sockets).clients;
     if let Some(options) = config.operator.ajp.clone() {
         let listener = TcpListener::bind(options.listen).await?;
         info!("{} listens for AJP on {}", config.name, listener.local_addr()?);
