Give a run the window of the key that it came with

Cause: start (exchange/core.rs) took a run for keyed by the present effect of its class. Where a reload had made the class retryable while the request was held, its key was entered without an end and never dropped, and a repeat was given that result for ever once the class was keyed again.

Change: the key tells.

Result: a_class_that_loses_its_effect_while_a_request_is_held_keeps_that_requests_window failed without this.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -765,7 +765,8 @@
         };
         if let Some(key) = entry.key.clone() {
             let class = &settings.classes[entry.class];
-            let keyed = class.effect == Effect::Keyed;
+            // By what it came with: new settings may have given its class another effect meanwhile.
+            let keyed = key.is_operation();
             let until = if keyed { entry.arrived + whole_ms(settings, entry.class) } else { f64::INFINITY };
             if !self.kept.begin(&key, id, entry.arrived, until, entry.digest) {
                 entry.phase = Phase::Sharing;
