Refuse settings with times that no timer takes

Cause: a deadline, aim, window, slack, freshness or idle time of any finite size was accepted (validate.rs); Duration::from_secs_f64 and the queue of waits panic past theirs, so a reload with such a file would have ended the node at the next request.

--- a/src/validate.rs
+++ b/src/validate.rs
@@ -2,6 +2,24 @@
 
 use crate::interface::{Below, Settings, SettingsError};
 
+/// The longest time that settings may name, in ms: eleven days. Timers take about two years, and some waits are several times
+/// a setting; a longer one would end the node at the first request that it counts for.
+const LONGEST_MS: f64 = 1e9;
+
+/// No time that a timer is made of may be longer than timers take.
+fn check_times(set: &Settings) -> Result<(), SettingsError> {
+    let of_all =
+        [("fresh_ms", set.fresh_ms), ("idle_ms", set.idle_ms), ("answer_slack_ms", set.answer_slack_ms)];
+    let of_classes = set
+        .classes
+        .iter()
+        .flat_map(|class| [class.aim_ms, class.deadline_ms, class.window_ms].map(|time| ("classes", time)));
+    match of_all.into_iter().chain(of_classes).find(|(_, time)| *time > LONGEST_MS) {
+        Some((field, _)) => Err(SettingsError { field, problem: "must be at most 1000000000 ms" }),
+        None => Ok(()),
+    }
+}
+
 /// Every number must be finite and not negative, and each class needs an aim and a deadline.
 pub(crate) fn check(set: &Settings) -> Result<(), SettingsError> {
     let numbers = [
@@ -38,5 +56,5 @@
     if !set.classes.iter().all(|class| positive(class.aim_ms) && positive(class.deadline_ms)) {
         return Err(SettingsError { field: "classes", problem: "aim and deadline must be above 0" });
     }
-    Ok(())
+    check_times(set)
 }
