--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -73,6 +73,26 @@
     }
 }
 
+/// What is unusual about the start of a node.
+#[derive(Default)]
+pub struct Start {
+    /// Descriptors that the system allows it.
+    pub descriptors: Option<usize>,
+    /// What comes while it reads its configuration.
+    pub early: Option<Early>,
+}
+
+/// A signal that comes while a node reads its configuration, with the settings that the file holds from then on.
+pub struct Early {
+    pub signal: &'static str,
+    pub then: Value,
+}
+
+fn send_signal(child: &Child, signal: &str) {
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+}
+
 /// A node and its stand-ins.
 pub struct Node {
     child: Child,
@@ -121,7 +141,16 @@
         std::fs::create_dir_all(&dir.0).expect("a folder");
         let operator = format!("[ajp]\nlisten = \"127.0.0.1:0\"\n{more}");
         std::fs::write(dir.0.join("operator.toml"), operator).expect("a file");
-        Self::spawn(config, Arc::new(dir), None)
+        Self::spawn(config, Arc::new(dir), None, Start::default())
+    }
+
+    /// A whole configuration with both fronts, started in another way than usual.
+    pub fn launch_so(config: Value, start: Start) -> Self {
+        let name = format!("sillflow-{}-{}", std::process::id(), DIRS.fetch_add(1, SeqCst));
+        let dir = Dir(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&dir.0).expect("a folder");
+        std::fs::write(dir.0.join("operator.toml"), "[ajp]\nlisten = \"127.0.0.1:0\"\n").expect("a file");
+        Self::spawn(config, Arc::new(dir), None, start)
     }
 
     /// A node whose listening socket is held by the platform and handed down to it.
@@ -137,10 +166,10 @@
         std::fs::write(dir.0.join("operator.toml"), "").expect("a file");
         let held = TcpListener::bind("127.0.0.1:0").expect("a port");
         config["listen"] = held.local_addr().expect("an address").to_string().into();
-        Self::spawn(config, Arc::new(dir), Some(held))
+        Self::spawn(config, Arc::new(dir), Some(held), Start::default())
     }
 
-    fn spawn(mut config: Value, dir: Arc<Dir>, held: Option<TcpListener>) -> Self {
+    fn spawn(mut config: Value, dir: Arc<Dir>, held: Option<TcpListener>, start: Start) -> Self {
         let processor = Processor::listen();
         let records = Records::listen();
         let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -150,8 +179,17 @@
             config["records"] = other;
         }
         let file = dir.0.join(format!("config-{}.json", processor.port));
-        std::fs::write(&file, config.to_string()).expect("a file");
+        match start.early {
+            None => std::fs::write(&file, config.to_string()).expect("a file"),
+            Some(_) => assert!(Command::new("mkfifo").arg(&file).status().expect("mkfifo runs").success()),
+        }
         let mut command = match &held {
+            None if start.descriptors.is_some() => {
+                let limit = start.descriptors.expect("a limit");
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &format!("ulimit -n {limit} && exec \"$0\""), PROGRAM]);
+                shell
+            }
             None => Command::new(PROGRAM),
             Some(socket) => {
                 let mut shell = Command::new("sh");
@@ -171,6 +209,17 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
+        if let Some(Early { signal, then }) = start.early {
+            // Opened for writing once the node has opened it: it has come to read its configuration.
+            let mut first = std::fs::File::options().write(true).open(&file).expect("a reader");
+            let whole = dir.0.join("then.json");
+            let mut then_in_force = config.clone();
+            then_in_force["settings"] = then;
+            std::fs::write(&whole, then_in_force.to_string()).expect("a file");
+            std::fs::rename(&whole, &file).expect("a file in its place");
+            send_signal(&child, signal);
+            first.write_all(config.to_string().as_bytes()).expect("a reader");
+        }
         let log = lines(child.stderr.take().expect("a pipe"));
         let (resp, ajp, admin) = (String::new(), String::new(), String::new());
         let seen = Vec::new();
@@ -187,7 +236,7 @@
     /// Starts a further process of this node beside this one, with a processor's address of its own.
     pub fn successor(&self) -> Self {
         let held = self.held.as_ref().map(|held| held.try_clone().expect("a handle"));
-        Self::spawn(self.config.clone(), self.dir.clone(), held)
+        Self::spawn(self.config.clone(), self.dir.clone(), held, Start::default())
     }
 
     /// The address at the end of a line of the log.
@@ -252,8 +301,40 @@
     }
 
     fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+        send_signal(&self.child, signal);
+    }
+
+    /// Lines of the log so far, in their order.
+    pub fn log_so_far(&mut self) -> &[String] {
+        self.seen.extend(self.log.try_iter());
+        &self.seen
+    }
+
+    /// The most memory that the node has taken so far, in kB.
+    pub fn peak_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
+    /// The configuration in force with the processor at another address.
+    pub fn with_processor_at(&self, address: &str) -> Value {
+        let mut config = self.config.clone();
+        config["processor"] = address.into();
+        config
+    }
+
+    /// Moves the control plane to this address, and tells the node.
+    pub fn move_control(&mut self, address: SocketAddr) {
+        self.open_control(address);
+        self.config["control"] = self.control.local_addr().expect("an address").to_string().into();
+        self.reconfigure(&self.config.to_string());
+    }
+
+    /// Opens the control plane's socket there.
+    pub fn open_control(&mut self, address: SocketAddr) {
+        self.control = UdpSocket::bind(address).expect("a port");
+        self.control.set_read_timeout(Some(PATIENCE)).expect("a timeout");
     }
 
     /// Puts this text behind the AJP table in the operator's file.
@@ -507,6 +588,35 @@
         self.early.iter().filter(|command| command["op"] == op).count()
     }
 
+    /// Writes these very bytes on the link.
+    pub fn say_raw(&self, bytes: &[u8]) {
+        let mut link = self.link.lock().expect("a lock");
+        link.as_mut().expect("a link").write_all(bytes).expect("a write");
+    }
+
+    /// A numbered notice as its line, which is yet to be said.
+    pub fn number(&mut self, op: &str, id: &str, more: Value) -> String {
+        let seq = self.seq.fetch_add(1, SeqCst) + 1;
+        let mut notice = json!({"op": op, "seq": seq, "id": id});
+        notice.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
+        self.said.push(notice.clone());
+        format!("{notice}\n")
+    }
+
+    /// Takes the next link up to its hello, and says nothing on it.
+    pub fn meet(&mut self) -> TcpStream {
+        let stream = self.links.recv_timeout(PATIENCE).expect("a link");
+        let mut hello = String::new();
+        BufReader::new(stream.try_clone().expect("a handle")).read_line(&mut hello).expect("a line");
+        assert!(hello.contains("hello"), "{hello}");
+        stream
+    }
+
+    /// Whether a further link has come.
+    pub fn is_linked(&self) -> bool {
+        self.links.try_recv().is_ok()
+    }
+
     pub fn break_link(&self) {
         let link = self.link.lock().expect("a lock").take().expect("a link");
         link.shutdown(std::net::Shutdown::Both).expect("a link to break");
@@ -555,6 +665,11 @@
         Self { port, connections }
     }
 
+    /// The next connection, unread.
+    pub fn connection(&self) -> TcpStream {
+        self.connections.recv_timeout(PATIENCE).expect("a connection")
+    }
+
     /// Whether a further connection has come.
     pub fn is_connected(&self) -> bool {
         self.connections.try_recv().is_ok()
