Keep the windows of runs when settings change a class

Cause, found by reading src/exchange/core.rs for what may come between a run and its repeat: - submit() looked a key up only where the class has keys at that moment. After a SIGHUP that made the class retryable or fragile, a repeat of a run in its window was run a second time. - start() took the end of the window from the class's effect at that moment. A try that was held under its key while the class lost its keys got a row that ends in infinity: it was never dropped, and could not be told to a next process (infinity has no form in JSON). - The end of a row was fixed when its run began, so a longer window in new settings did not hold for runs that were over. - A row lives for its window and one limit of its class. A try that came to the machine within the window, is read after that, and whose caller waits longer than the limit, found no row and ran a second time. - A window beyond the range of the timer wheel ended the process with a panic. Ruled out: classes that are dropped and added again (places are never reused), results and rejects in one batch with a repeat in both orders, links that break under a shared run, callers that go; their tests pass with and without the change.

Change: an operation's row is honoured whatever its class has become; rows of operations have the window of an operation; new settings lengthen the windows of rows; a try that is read so late that its row may be gone fails; waits are set for 30 days at most and looked at again; a held try whose key has begun is never refused.

Seen to fail without the change: a_repeat_gets_the_result_though_its_class_has_lost_its_keys (2), a_window_that_new_settings_make_ longer_holds_for_runs_that_are_over, a_repeat_that_is_read_after_its_key_is_forgotten_is_not_run, keys_survive_odd_settings_and_ the_node_serves_on (2), new_settings_between_the_two_processes_keep_the_keys. The other nine tests of the file hold crossings that were safe before.

--- a/src/exchange/claims.rs
+++ b/src/exchange/claims.rs
@@ -1,11 +1,9 @@
 //! Keys that are claimed at further nodes ahead of a run, and results that are copied there ahead of their answer.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::core::{Entry, Exchange, FAILSAFE_MS, Phase, Wait};
+use super::core::{Entry, Exchange, FAILSAFE_MS, Phase, Wait, span};
 use super::kept::{Key, State};
 use super::types::{Answer, Oddity, TryId};
 use crate::config::Late;
@@ -237,7 +235,7 @@
             Outcome::Ok => {
                 let left_ms = self.left_ms(entry).max(0.0);
                 self.send_errand(Errand::End { request, fate: Fate::Done(result.clone()) });
-                self.waits.insert(Wait::Copy(id), Duration::from_secs_f64(left_ms / 1000.0));
+                self.waits.insert(Wait::Copy(id), span(left_ms));
                 let since = self.clock.now();
                 if let Some(entry) = self.entries.get_mut(&id) {
                     entry.phase = Phase::Copying(Result { result: result.clone(), took_ms, since });
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -46,6 +46,10 @@
 /// A class that was dropped is served for this long still: front ends hear of it a second or two late.
 const RETIRES: Duration = Duration::from_secs(3);
 
+/// The longest wait that is set in one go: the timer wheel holds about two years, and settings may ask for more.
+/// Whoever waits longer looks again then.
+const LONGEST_WAIT_MS: f64 = 30.0 * 24.0 * 3_600_000.0;
+
 /// Time over which oddities are counted into one line of the log each.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -355,6 +359,9 @@
         if let Err(problem) = self.controller.retune(site.settings.clone()) {
             return warn!("the settings stay as they were: {problem}");
         }
+        for (class, (old, new)) in self.site.settings.classes.iter().zip(&site.settings.classes).enumerate() {
+            self.kept.lengthen(class, new.window_ms - old.window_ms);
+        }
         if site.settings.say != self.site.settings.say {
             // Guards against a value that callers take for another one; the module tells the next in a period.
             self.posture.level = None;
@@ -404,8 +411,12 @@
         let settings = &self.site.settings;
         let class = &settings.classes[ask.class];
         let arrived = now - ask.waited_ms;
-        let key = match (class.effect, ask.op_key) {
-            (Effect::Keyed, Some(op)) => Some(Key::Operation(ask.class, op)),
+        let keyed = class.effect == Effect::Keyed;
+        let operation = ask.op_key.map(|operation| Key::Operation(ask.class, operation));
+        // A class may have lost its keys by new settings: what is held or ran under one has its window still.
+        let operation = operation.filter(|key| keyed || self.kept.earlier(key, arrived, false).is_some());
+        let key = match (class.effect, operation) {
+            (_, Some(operation)) => Some(operation),
             (Effect::Safe, _) if settings.fresh_ms > 0.0 => {
                 ask.subject.map(|subject| Key::Subject(ask.class, subject))
             }
@@ -420,6 +431,12 @@
         // One that can only be refused carries no key: another try that is held under it goes on.
         let hopeless = due <= now + HOPELESS_MS;
         let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
+        let outlived = ask.waited_ms >= class.deadline_ms;
+        if outlived && !hopeless && earlier.is_none() && key.as_ref().is_some_and(Key::is_operation) {
+            // Guards against a second run: a run whose window it came in may be forgotten already.
+            reply.send(Answer::Failed, self.posture.level);
+            return self.note(Oddity::Outlived, ask.of);
+        }
         // A key that is there takes no further room, and its run may be over: its repeats get the result.
         if key.is_some() && earlier.is_none() && self.kept.is_full() {
             reply.send(self.turned_away(further), self.posture.level);
@@ -431,7 +448,7 @@
             return self.note(Oddity::Handed, ask.of);
         }
         if let Some(key) = key.as_ref().filter(|_| !hopeless)
-            && (earlier.is_none() || key.is_operation())
+            && (earlier.is_none() || keyed)
         {
             // The newest try of an operation carries it, so a third try in one batch repeats the second.
             self.kept.hold(key, id, arrived, digest);
@@ -518,7 +535,7 @@
             self.give_up_claim(id);
         } else if entry.began() || matches!(entry.phase, Phase::Copying(_)) {
             let lost_ms = LOST_DEADLINES * self.site.settings.classes[entry.class].deadline_ms;
-            self.waits.insert(Wait::Lost(id), Duration::from_secs_f64(lost_ms / 1000.0));
+            self.waits.insert(Wait::Lost(id), span(lost_ms));
         } else {
             if matches!(entry.phase, Phase::Asking { .. }) {
                 self.send_errand(Errand::GiveUp { request: id.0 });
@@ -622,7 +639,7 @@
         let state = if outcome == Outcome::Ok { State::Served(result) } else { State::Failed };
         let fresh = matches!(key, Key::Subject(..)).then(|| {
             let fresh_ms = if outcome == Outcome::Ok { self.site.settings.fresh_ms } else { 0.0 };
-            self.waits.insert(Wait::Key(key.clone(), id), Duration::from_secs_f64(fresh_ms / 1000.0));
+            self.waits.insert(Wait::Key(key.clone(), id), span(fresh_ms));
             self.clock.now() + fresh_ms
         });
         let waiting = self.kept.end(&key, id, state.clone(), fresh);
@@ -680,9 +697,14 @@
         }
     }
 
-    /// Drops a kept key once nobody looks its result up any more: some callers wait longer than its class's limit.
+    /// Drops a kept key once nobody looks its result up any more: some callers wait longer than its class's limit, and
+    /// new settings may have made its window longer.
     fn key_outlived(&mut self, key: Key, id: RequestId) {
-        match self.kept.looked_up_until(&key, id).map(|until| until - self.clock.now()) {
+        let deadline_ms = match &key {
+            Key::Operation(class, _) => self.site.settings.classes[*class].deadline_ms,
+            Key::Subject(..) => 0.0,
+        };
+        match self.kept.needed_until(&key, id, deadline_ms).map(|until| until - self.clock.now()) {
             Some(left_ms) if left_ms > 0.0 => drop(self.waits.insert(Wait::Key(key, id), span(left_ms))),
             _ => self.kept.expire(&key, id),
         }
@@ -705,9 +727,12 @@
     fn overdue(&mut self, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.failsafe = None;
+        let Some(entry) = self.entries.get(&id) else { return };
         let of = entry.of;
         let answer = match entry.phase {
-            Phase::Held if !entry.further => Answer::Refused { stay_away_ms: 0.0, last: false },
+            Phase::Held if !entry.further && !self.key_has_run(id) => {
+                Answer::Refused { stay_away_ms: 0.0, last: false }
+            }
             _ => Answer::Failed,
         };
         self.note(Oddity::Failsafe, of);
@@ -751,8 +776,7 @@
             Action::Say(_) => {}
             Action::CloseIdle { after_ms } => self.posture.idle_ms = Some(after_ms),
             Action::Wake { after_ms } => {
-                let after = Duration::from_secs_f64(after_ms.max(0.0) / 1000.0);
-                self.waits.insert(Wait::Wake, after);
+                self.waits.insert(Wait::Wake, span(after_ms));
             }
         }
     }
@@ -765,7 +789,8 @@
         };
         if let Some(key) = entry.key.clone() {
             let class = &settings.classes[entry.class];
-            let keyed = class.effect == Effect::Keyed;
+            // By its key: new settings may have given its class another effect since it was read.
+            let keyed = key.is_operation();
             let until = if keyed { entry.arrived + whole_ms(settings, entry.class) } else { f64::INFINITY };
             if !self.kept.begin(&key, id, entry.arrived, until, entry.digest) {
                 entry.phase = Phase::Sharing;
@@ -777,8 +802,7 @@
             if keyed {
                 // Held repeats that came in the window look the result up until they are due themselves.
                 let lasts_ms = (until - self.clock.now()).max(0.0) + class.deadline_ms;
-                let lasts = Duration::from_secs_f64(lasts_ms / 1000.0);
-                self.waits.insert(Wait::Key(key.clone(), id), lasts);
+                self.waits.insert(Wait::Key(key.clone(), id), span(lasts_ms));
                 if let (Some(_), Key::Operation(_, operation)) = (&self.copies, &key) {
                     return self.claim(id, operation);
                 }
@@ -807,13 +831,19 @@
             Phase::Held if entry.further && entry.key.is_some() && entry.reply.is_some() => {
                 return self.look_first(id, stay_away_ms, last);
             }
-            Phase::Held => Answer::Refused { stay_away_ms, last },
+            Phase::Held if !self.key_has_run(id) => Answer::Refused { stay_away_ms, last },
             _ => Answer::Failed,
         };
         self.answer(id, answer);
         self.settled(id);
     }
 
+    /// Whether another try of a held request's key has begun within its window: a refusal would deny that.
+    fn key_has_run(&self, id: RequestId) -> bool {
+        let Some(Entry { key: Some(key), arrived, .. }) = self.entries.get(&id) else { return false };
+        key.is_operation() && self.kept.earlier(key, *arrived, true).is_some_and(|holder| holder != id)
+    }
+
     fn call(&mut self, id: RequestId, give_up_at: f64) {
         self.serials += 1;
         let now = self.clock.now();
@@ -863,8 +893,10 @@
 }
 
 /// A wait of so many ms; none where they are gone already.
-fn span(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+pub(super) fn span(ms: f64) -> Duration {
+    // What is no number is taken for nothing.
+    let ms = if ms > 0.0 { ms.min(LONGEST_WAIT_MS) } else { 0.0 };
+    Duration::from_secs_f64(ms / 1000.0)
 }
 
 /// How long after its arrival a run has repeats.
--- a/src/exchange/kept.rs
+++ b/src/exchange/kept.rs
@@ -136,9 +136,19 @@
         }
     }
 
-    /// When the last of those that may look up what came of the try of `id` is due, where that holds the key still.
-    pub fn looked_up_until(&self, key: &Key, id: RequestId) -> Option<f64> {
-        self.rows.get(key).filter(|row| row.holder == id).map(|row| row.looked_up)
+    /// When the row of `id` has outlived its use, where that holds the key still: the last of those that may look its
+    /// result up are due, and so are repeats that came at the end of its window and have `deadline_ms`.
+    pub fn needed_until(&self, key: &Key, id: RequestId, deadline_ms: f64) -> Option<f64> {
+        let row = self.rows.get(key).filter(|row| row.holder == id)?;
+        Some(row.looked_up.max(row.until + deadline_ms))
+    }
+
+    /// Makes the windows of a class's runs longer by so many ms, as new settings do. Those of runs that have begun are
+    /// never made shorter: their callers were promised them.
+    pub fn lengthen(&mut self, class: usize, by_ms: f64) {
+        let of_class = |key: &Key| matches!(key, Key::Operation(of, _) if *of == class);
+        let rows = self.rows.iter_mut().filter(|(key, _)| by_ms > 0.0 && of_class(key));
+        rows.for_each(|(_, row)| row.until += by_ms);
     }
 
     /// Whether the table has no room for a further key.
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -1,12 +1,10 @@
 //! One process of a node after the other: the old one hands its keys over and finishes what it has open, the new
 //! one runs nothing that the old one may have run.
 
-use std::time::Duration;
-
 use log::info;
 use tokio::sync::mpsc;
 
-use super::core::{Exchange, Wait};
+use super::core::{Exchange, Wait, span};
 use super::handed::{Handed, HandedKey, Room, Standing, Turn};
 use super::kept::{Key, State};
 use super::next;
@@ -110,7 +108,7 @@
             self.foreign.insert(key.clone(), holder);
             let lasts_ms =
                 (until - self.clock.now()).max(0.0) + self.site.settings.classes[class].deadline_ms;
-            self.waits.insert(Wait::Key(key.clone(), holder), Duration::from_secs_f64(lasts_ms / 1000.0));
+            self.waits.insert(Wait::Key(key.clone(), holder), span(lasts_ms));
             holder
         });
         match standing {
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -152,6 +152,8 @@
     Rejected,
     /// Failed, as its name is that of an open request or its key that of another body.
     Taken,
+    /// Failed, as it was read so late that a run of its key may be forgotten.
+    Outlived,
     /// Failed, as its key came to light only after all keys were handed to the next process.
     Handed,
     /// A connection that was closed for what came on it.
@@ -191,6 +193,7 @@
             Self::Unfit => "requests failed unread",
             Self::Rejected => "requests rejected by the processor",
             Self::Taken => "requests failed for a name or key that is another's",
+            Self::Outlived => "requests failed as they were read after their keys may be forgotten",
             Self::Handed => "requests failed as the next process has all keys",
             Self::Unreadable => "connections closed for what came on them",
             Self::Silent => "connections closed as nothing whole came on them",
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -206,6 +206,17 @@
         }
     }
 
+    /// A line of the log, where it comes by then.
+    pub fn logged_within(&mut self, part: &str, time: Duration) -> Option<String> {
+        let until = Instant::now() + time;
+        loop {
+            if let Some(line) = self.seen.iter().find(|line| line.contains(part)) {
+                return Some(line.clone());
+            }
+            self.seen.push(self.log.recv_timeout(until.saturating_duration_since(Instant::now())).ok()?);
+        }
+    }
+
     /// Waits for a report of this state.
     pub fn reported(&mut self, state: &str) {
         let mut datagram = [0; 64];
