Give back the place of a repeat that is given up

Cause: where the decision module lets a try run whose key has run (its class has no keys any more, or a read is let run for lack of memory), the table of keys makes it share that run. settled() then dropped its entry when its caller left, or it was due, before the run ended, and told the module nothing: to the module it ran for good and took a place on the cores. Two such tries, and a node of two cores began nothing more. The numbers of such tries also stayed in the row until the run ended, without bound.

Change: the module is told that the try never ran (Done, Moot), which it ignores for tries that it knows to share; the row forgets its number.

Seen to fail without it: a_repeat_that_is_given_up_leaves_no_place_taken (with the event left out and all else in place).

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -531,6 +531,10 @@
         if let Phase::Waiting(pending) = &mut entry.phase {
             pending.placed = None;
         }
+        if matches!(entry.phase, Phase::Sharing) {
+            // The decision module may take it for a run of its own, whose place would stay taken for good.
+            self.events.push(Event::Done { id, outcome: Outcome::Moot, took_ms: 0.0 });
+        }
         if matches!(entry.phase, Phase::Claiming { .. }) {
             self.give_up_claim(id);
         } else if entry.began() || matches!(entry.phase, Phase::Copying(_)) {
@@ -559,8 +563,10 @@
     pub(super) fn drop_unrun(&mut self, id: RequestId) {
         let Some(entry) = self.entries.remove(&id) else { return };
         self.forget_try(entry.of, id);
-        if let Some(key) = entry.key.filter(|_| matches!(entry.phase, Phase::Held)) {
-            self.release(&key, id);
+        match (entry.key, entry.phase) {
+            (Some(key), Phase::Held) => self.release(&key, id),
+            (Some(key), Phase::Sharing) => self.kept.unshare(&key, id),
+            _ => {}
         }
     }
 
--- a/src/exchange/kept.rs
+++ b/src/exchange/kept.rs
@@ -219,6 +219,14 @@
         row.state.clone()
     }
 
+    /// `id` waits no longer for the end of the try that holds the key.
+    pub fn unshare(&mut self, key: &Key, id: RequestId) {
+        let Some(row) = self.rows.get_mut(key) else { return };
+        if let Some(at) = row.waiting.iter().position(|waiting| *waiting == id) {
+            row.waiting.swap_remove(at);
+        }
+    }
+
     /// Drops the entry of `id` for good, unless another try has taken its place.
     pub fn expire(&mut self, key: &Key, id: RequestId) {
         if self.rows.get(key).is_some_and(|row| row.holder == id) {
--- a/tests/races_core.rs
+++ b/tests/races_core.rs
@@ -81,6 +81,27 @@
     assert_eq!(answers, [("2".into(), b"second".to_vec()), ("4".into(), b"second".to_vec())]);
 }
 
+#[rstest]
+fn a_repeat_that_is_given_up_leaves_no_place_taken() {
+    let (mut node, mut front) = started(unhurried());
+    pay(&mut front, 1, "shared");
+    assert_eq!(node.processor.begun(), try_id(1));
+    // To the decision module repeats are runs of their own now; the table of keys stops them.
+    retune(&mut node, with_effect("fragile"), "marker");
+    for tag in 2..20 {
+        pay(&mut front, tag, "shared");
+        decided(&mut front);
+        front.send(&[b"NEVERMIND", tag.to_string().as_bytes()]);
+        decided(&mut front);
+    }
+    front.ask(20, "pay-session", &try_id(20), "", b"body");
+    assert_eq!(node.processor.begun(), try_id(20), "there is room for another run");
+    node.processor.complete(&try_id(20), b"other");
+    assert_eq!(front.answer().body, b"other");
+    node.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+}
+
 #[rstest]
 fn a_class_that_is_dropped_and_added_again_keeps_its_keys() {
     let (mut node, mut front) = started(unhurried());
