Hand over to processes that come late or several at once

Cause, in src/handover.rs and src/node.rs: - SIGTERM ahead of the next process: drain() never looked whether one came meanwhile. That one waited for the end of the process before and began with no keys, so repeats of runs in their window ran again. - Two next processes in a row: the socket's side kept one connection, and the second one's arrival closed the first one's. The end of the connection without a turn means "it is your turn", so the first one served beside the old one, with no keys, and took its path. - The process before is killed while two wait, or two start at once: both found nobody and served.

Change: a drain hands over to a process that comes before its end. All waiting processes are kept (8 at most); the newest is handed the turn. One that loses its connection without a turn looks again for a process to wait behind; that look, and the listening where there is none, are one step under a file lock, so that only one of several is the first. A first process listens from its start.

Ruled out: a next process that dies before its turn, SIGTERM to both, SIGHUP in between; see the tests.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -2,21 +2,31 @@
 //! Unix socket in the node's own folder until the one that serves is told to go.
 
 use std::cell::RefCell;
-use std::io;
+use std::fs::File;
+use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::{info, warn};
+use rustix::fs::{FlockOperation, flock};
+use rustix::io::Errno;
 use serde::{Deserialize, Serialize};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::duty::MOST_DUTIES;
 use crate::duty::pass::{Carried, Passed};
 use crate::exchange::{Handed, HandedKey, Handle, Input, Room, Turn};
 use crate::frame::{receive, send};
 
+/// Processes that may wait for their turn at once. A platform starts one at a time.
+const MOST_WAITING: usize = 8;
+/// Time between attempts to lock the socket's path, which others hold for a moment.
+const LOCKED: Duration = Duration::from_millis(2);
+
 /// What one process says to the next.
 #[derive(Serialize, Deserialize)]
 pub enum Said {
@@ -46,22 +56,107 @@
     std::env::temp_dir().join(format!("sillflow-{name}.sock"))
 }
 
-/// The process that serves now, where there is one.
-pub async fn predecessor(name: &str) -> Option<UnixStream> {
-    UnixStream::connect(path(name)).await.ok()
+/// Where a process of a node stands among the others.
+pub enum Place {
+    /// No other serves. Those that come wait at this socket.
+    First(UnixListener),
+    /// Another serves, or comes ahead: it tells on this connection.
+    Behind(UnixStream),
+}
+
+/// Finds the place of this process. A lock makes it that of several which ask at once only one is the first: each looks
+/// whether anybody listens, and listens itself where nobody does, in one step.
+///
+/// # Errors
+/// The socket cannot be had.
+pub async fn place(name: &str) -> io::Result<Place> {
+    let _locked = lock_or_warn(name).await;
+    loop {
+        match UnixStream::connect(path(name)).await.map_err(|problem| (problem.kind(), problem)) {
+            Ok(stream) => return Ok(Place::Behind(stream)),
+            Err((ErrorKind::NotFound | ErrorKind::ConnectionRefused, _)) => {
+                return listener(name).map(Place::First);
+            }
+            // Somebody listens, and has not accepted those that came before.
+            Err((ErrorKind::WouldBlock | ErrorKind::Interrupted, _)) => sleep(LOCKED).await,
+            Err((_, problem)) => return Err(problem),
+        }
+    }
 }
 
-/// Takes what the process before hands over, to its end. `turn` resolves when this one is to serve, `session` when that of
-/// the duties is this one's.
-pub async fn take_over(
+/// The lock on the socket's path, until it is dropped. It is held for a moment at a time, so it is waited for.
+async fn lock(name: &str) -> io::Result<File> {
+    let file = File::create(path(name).with_extension("lock"))?;
+    loop {
+        match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+            Ok(()) => return Ok(file),
+            Err(Errno::WOULDBLOCK | Errno::INTR) => sleep(LOCKED).await,
+            Err(problem) => return Err(problem.into()),
+        }
+    }
+}
+
+/// The lock, where it can be had: without it only processes that start in the same moment can miss each other.
+async fn lock_or_warn(name: &str) -> Option<File> {
+    lock(name).await.inspect_err(|problem| warn!("the place of a process cannot be locked: {problem}")).ok()
+}
+
+fn listener(name: &str) -> io::Result<UnixListener> {
+    let path = path(name);
+    // It is of no use any more: who served there has ended or is about to.
+    match std::fs::remove_file(&path) {
+        Err(problem) if problem.kind() != ErrorKind::NotFound => Err(problem),
+        _ => UnixListener::bind(&path),
+    }
+}
+
+/// Waits behind the process before, and behind whichever takes its place, until this one is to serve, and takes what is
+/// handed over, to its end. `turn` resolves when this one is to serve, `session` when that of the duties is this one's.
+/// Others wait for this one in `successor` from then on.
+pub async fn follow(
+    name: String,
     mut from: UnixStream,
+    successor: Successor,
     exchange: Handle,
     turn: oneshot::Sender<()>,
     session: oneshot::Sender<Passed>,
 ) {
-    let (mut turn, mut session, mut duties) = (Some(turn), Some(session), Vec::new());
+    let mut turn = Some(turn);
+    let mut session = Some(session);
+    loop {
+        info!("another process of {name} serves still");
+        take_over(&mut from, &exchange, &mut turn, &mut session).await;
+        if turn.is_none() {
+            break;
+        }
+        // It has ended without a word, or another of those that waited has its place now.
+        match place(&name).await {
+            Ok(Place::Behind(stream)) => from = stream,
+            Ok(Place::First(listener)) => {
+                successor.wait_at(listener);
+                break;
+            }
+            Err(problem) => {
+                warn!("no process can take over from this one: {problem}");
+                break;
+            }
+        }
+    }
+    info!("the process before has ended");
+    // Where it went without a word, it is this one's turn all the same: the sender is dropped.
+    exchange.tell(Input::Alone).await;
+}
+
+/// Takes what one process hands over, to its end.
+async fn take_over(
+    from: &mut UnixStream,
+    exchange: &Handle,
+    turn: &mut Option<oneshot::Sender<()>>,
+    session: &mut Option<oneshot::Sender<Passed>>,
+) {
+    let mut duties = Vec::new();
     loop {
-        match receive::<Said>(&mut from).await {
+        match receive::<Said>(from).await {
             Ok(Some(Said::Key(key))) => exchange.tell(Input::Handed(Handed::Key(key))).await,
             Ok(Some(Said::Turn(of))) => {
                 exchange.tell(Input::Handed(Handed::Turn(of))).await;
@@ -84,44 +179,69 @@
             }
         }
     }
-    info!("the process before has ended");
-    // Where it went without a word, it is this one's turn all the same: the sender is dropped.
-    exchange.tell(Input::Alone).await;
 }
 
-/// Where the next process of this node waits.
+/// Where the next processes of this node wait.
 #[derive(Clone, Default)]
-pub struct Successor(Rc<RefCell<Option<UnixStream>>>);
+pub struct Successor {
+    waiting: Rc<RefCell<Vec<UnixStream>>>,
+    come: Rc<Notify>,
+}
 
 impl Successor {
-    /// Lets a process wait here; the last one that comes counts.
+    /// Lets processes wait here, at the socket's path.
     ///
     /// # Errors
     /// The socket cannot be had.
-    pub fn listen(&self, name: &str) -> io::Result<()> {
-        let path = path(name);
-        // It is of no use any more: who served there has ended or is about to.
-        match std::fs::remove_file(&path) {
-            Err(problem) if problem.kind() != io::ErrorKind::NotFound => return Err(problem),
-            _ => {}
-        }
-        let listener = UnixListener::bind(&path)?;
-        let waits = self.0.clone();
+    pub async fn listen(&self, name: &str) -> io::Result<()> {
+        let _locked = lock_or_warn(name).await;
+        self.wait_at(listener(name)?);
+        Ok(())
+    }
+
+    /// Lets processes wait at this socket. All that come are kept: one that lost its connection would take itself for the
+    /// next one.
+    pub fn wait_at(&self, listener: UnixListener) {
+        let successor = self.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                info!("the next process is there");
-                waits.replace(Some(stream));
+                successor.add(stream);
             }
         });
-        Ok(())
     }
 
-    /// The process that waits, if it has not ended meanwhile.
+    fn add(&self, stream: UnixStream) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(is_alive);
+        if waiting.len() >= MOST_WAITING {
+            return warn!("{MOST_WAITING} processes wait already: a further one is sent away");
+        }
+        waiting.push(stream);
+        info!("the next process is there; {} processes wait", waiting.len());
+        self.come.notify_one();
+    }
+
+    /// The newest process that waits and has not ended meanwhile. The others wait on.
     pub fn take(&self) -> Option<UnixStream> {
-        let waiting = self.0.take()?;
-        let alive = matches!(waiting.try_read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        alive.then_some(waiting)
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(is_alive);
+        waiting.pop()
     }
+
+    /// The next process, as soon as there is one.
+    pub async fn come(&self) -> UnixStream {
+        loop {
+            if let Some(stream) = self.take() {
+                return stream;
+            }
+            self.come.notified().await;
+        }
+    }
+}
+
+/// Whether the process at the other end of a connection, which says nothing, is there still.
+fn is_alive(waiting: &UnixStream) -> bool {
+    matches!(waiting.try_read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
 /// Tells the next process what is handed over, until nothing is left.
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::back::records::sites::Sites;
@@ -27,7 +27,7 @@
 use crate::fleet::copying::Part;
 use crate::fleet::view::View;
 use crate::front::{self, Shared, ajp, resp};
-use crate::handover::{self, Said, Successor};
+use crate::handover::{self, Place, Said, Successor};
 use crate::inherit;
 use crate::interface::{RequestId, SettingsError};
 use crate::partners::live;
@@ -109,7 +109,8 @@
         in_force: in_force.clone(),
     };
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), turning));
-    let (alone, turn, session) = succeed(&config, &handle).await;
+    let successor = Successor::default();
+    let Succession { alone, turn, session } = succeed(&config, &handle, &successor).await;
     let (on_its_own, is_alone) = watch::channel(false);
     let mut duties = None;
     if let Some(table) = config.operator.fleet.clone() {
@@ -139,14 +140,15 @@
     if let Some(admin) = config.admin {
         admit_operators(&config, admin, handle.clone()).await?;
     }
-    tokio::select! {
-        _ = turn => {}
+    let told_turn = tokio::select! {
+        turn = turn => turn.is_ok(),
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
-    }
-    let successor = Successor::default();
+    };
+    // Where it was told its turn, those that come next are to wait here from now on.
     if config.inherited.is_some()
-        && let Err(problem) = successor.listen(&config.name)
+        && told_turn
+        && let Err(problem) = successor.listen(&config.name).await
     {
         warn!("no process can take over from this one: {problem}");
     }
@@ -172,9 +174,11 @@
         duties => (None, duties),
     };
     let goes = goes.map(|duties| spawn_local(duties.leave(config.stop.saturating_sub(HAND_ON_MARGIN))));
+    let leaving =
+        Leaving { told: Instant::now(), stop: config.stop, exchange: handle, closing, fronts, reports };
     match next {
-        Some(next) => hand_over(config.stop, handle, closing, fronts, reports, next, passes).await,
-        None => drain(config.stop, handle, closing, fronts).await,
+        Some(next) => hand_over(leaving, next, passes).await,
+        None => drain(leaving, &successor).await,
     }
     left.await;
     if let Some(duties) = goes {
@@ -349,25 +353,39 @@
     }
 }
 
-/// Finds the process of this node that serves now. The first to resolve says that this one is alone, the second that it
-/// is its turn, and the third has the session of its duties.
-async fn succeed(
-    config: &Config,
-    exchange: &Handle,
-) -> (JoinHandle<()>, oneshot::Receiver<()>, oneshot::Receiver<Passed>) {
+/// How a process of this node stands to the one before.
+struct Succession {
+    /// Ends when this one is alone.
+    alone: JoinHandle<()>,
+    /// Resolves when it is this one's turn, to an error where nobody told it so: those that come next wait for it then
+    /// already.
+    turn: oneshot::Receiver<()>,
+    /// Has the session of the node's duties.
+    session: oneshot::Receiver<Passed>,
+}
+
+/// Finds the process of this node that serves now.
+async fn succeed(config: &Config, exchange: &Handle, successor: &Successor) -> Succession {
     let ((begin, turn), (pass, session)) = (oneshot::channel(), oneshot::channel());
-    let before = match config.inherited {
-        Some(_) => handover::predecessor(&config.name).await,
-        None => None,
+    let place = match config.inherited {
+        Some(_) => handover::place(&config.name).await,
+        None => return Succession { alone: spawn_local(async {}), turn, session },
     };
-    let alone = match before {
-        Some(before) => {
-            info!("another process of {} serves still", config.name);
-            spawn_local(handover::take_over(before, exchange.clone(), begin, pass))
+    let alone = match place {
+        Ok(Place::Behind(before)) => {
+            let (name, successor, exchange) = (config.name.clone(), successor.clone(), exchange.clone());
+            spawn_local(handover::follow(name, before, successor, exchange, begin, pass))
+        }
+        Ok(Place::First(listener)) => {
+            successor.wait_at(listener);
+            spawn_local(async {})
+        }
+        Err(problem) => {
+            warn!("no process can take over from this one: {problem}");
+            spawn_local(async {})
         }
-        None => spawn_local(async {}),
     };
-    (alone, turn, session)
+    Succession { alone, turn, session }
 }
 
 /// Waits until the process before has let go of the store's address: it may hand on duties and copies after the last word
@@ -587,18 +605,22 @@
     Ok(fronts)
 }
 
-/// Leaves to the next process: gives the connections back at once, hands the keys over, and ends when all that it
-/// has read is answered and nothing runs any more.
-async fn hand_over(
+/// A process that has been told to leave.
+struct Leaving {
+    told: Instant,
+    /// How long after that it is stopped.
     stop: Duration,
     exchange: Handle,
+    /// Gives the connections back.
     closing: CancellationToken,
     fronts: JoinSet<()>,
     reports: JoinHandle<()>,
-    next: UnixStream,
-    duties: Option<hold::Ends>,
-) {
-    let told = Instant::now();
+}
+
+/// Leaves to the next process: gives the connections back at once, hands the keys over, and ends when all that it
+/// has read is answered and nothing runs any more.
+async fn hand_over(leaving: Leaving, next: UnixStream, duties: Option<hold::Ends>) {
+    let Leaving { told, stop, exchange, closing, fronts, reports } = leaving;
     closing.cancel();
     // What crosses the notice is still this process's, with its key.
     tokio::time::sleep(CROSSES).await;
@@ -646,15 +668,35 @@
     }
 }
 
-/// Leaves: tells the exchange, serves on, gives the connections back in good time, and ends when all are gone.
-async fn drain(stop: Duration, exchange: Handle, closing: CancellationToken, fronts: JoinSet<()>) {
-    let told = Instant::now();
-    exchange.tell(Input::Drain { stop_in_ms: stop.as_secs_f64() * 1000.0 }).await;
-    tokio::time::sleep_until(told + stop.saturating_sub(GIVE_BACK)).await;
-    closing.cancel();
-    let left = tokio::time::timeout_at(told + stop + LAST, fronts.join_all()).await;
-    info!(
-        "stopped {}",
-        if left.is_ok() { "with every connection given back" } else { "with connections open" }
-    );
+/// Leaves: tells the exchange, serves on, gives the connections back in good time, and ends when all are gone. A next
+/// process that comes meanwhile is handed the keys.
+async fn drain(mut leaving: Leaving, successor: &Successor) {
+    let (told, stop) = (leaving.told, leaving.stop);
+    leaving.exchange.tell(Input::Drain { stop_in_ms: stop.as_secs_f64() * 1000.0 }).await;
+    let mut next = tokio::select! {
+        next = successor.come() => Some(next),
+        () = sleep_until(told + stop.saturating_sub(GIVE_BACK)) => None,
+    };
+    let mut left = false;
+    if next.is_none() {
+        leaving.closing.cancel();
+        tokio::select! {
+            late = successor.come() => next = Some(late),
+            () = all_gone(&mut leaving.fronts) => left = true,
+            () = sleep_until(told + stop + LAST) => {}
+        }
+    }
+    match next {
+        Some(next) => hand_over(leaving, next, None).await,
+        None => {
+            info!(
+                "stopped {}",
+                if left { "with every connection given back" } else { "with connections open" }
+            );
+        }
+    }
+}
+
+async fn all_gone(fronts: &mut JoinSet<()>) {
+    while fronts.join_next().await.is_some() {}
 }
--- a/tests/races_core.rs
+++ b/tests/races_core.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::TcpStream;
+use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -349,6 +350,107 @@
     new
 }
 
+#[rstest]
+fn a_process_that_comes_while_the_one_before_drains_gets_its_keys() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "done");
+    assert_eq!(old.processor.begun(), try_id(1));
+    old.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+    pay(&mut front, 2, "running");
+    assert_eq!(old.processor.begun(), try_id(2));
+    old.terminate();
+    old.logged("draining");
+    let mut new = waiting(&mut old);
+    old.logged("handing over");
+    new.logged("taking over");
+    new.reported("Ready");
+    let mut next = FrontEnd::connect(&new.resp);
+    pay(&mut next, 11, "done");
+    assert_eq!(next.answer().body, b"first");
+    pay(&mut next, 12, "running");
+    decided(&mut next);
+    old.processor.complete(&try_id(2), b"second");
+    assert_eq!(front.answer().body, b"second");
+    assert_eq!(next.answer().body, b"second");
+    assert_eq!(new.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn of_two_waiting_processes_one_serves_and_the_other_waits_behind_it() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "done");
+    assert_eq!(old.processor.begun(), try_id(1));
+    old.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+    let mut one = waiting(&mut old);
+    old.logged("the next process is there");
+    let mut two = waiting(&mut old);
+    old.logged("; 2 processes wait");
+    old.terminate();
+    two.logged("taking over");
+    two.reported("Ready");
+    drop(front);
+    assert!(old.ended().success());
+    two.logged("the next process is there");
+    let mut next = FrontEnd::connect(&two.resp);
+    pay(&mut next, 2, "done");
+    assert_eq!(next.answer().body, b"first");
+    pay(&mut next, 3, "second");
+    assert_eq!(two.processor.begun(), try_id(3));
+    two.processor.complete(&try_id(3), b"second");
+    assert_eq!(next.answer().body, b"second");
+    // The first of the two is the next one now.
+    two.terminate();
+    one.logged("taking over");
+    let mut last = FrontEnd::connect(&one.resp);
+    for (tag, key, result) in [(4, "done", b"first".to_vec()), (5, "second", b"second".to_vec())] {
+        pay(&mut last, tag, key);
+        assert_eq!(last.answer().body, result);
+    }
+    assert_eq!(one.processor.count("begin") + two.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn of_two_waiting_processes_only_one_follows_one_that_is_killed() {
+    let (mut old, _front) = held();
+    let mut one = waiting(&mut old);
+    let mut two = waiting(&mut old);
+    old.logged("; 2 processes wait");
+    old.kill();
+    // One of the two finds nobody, the other finds that one.
+    let serves = |node: &mut Node| node.logged_within("reporting Ready", Duration::from_millis(50)).is_some();
+    let (mut serving, mut behind) = loop {
+        if serves(&mut one) {
+            break (one, two);
+        }
+        if serves(&mut two) {
+            break (two, one);
+        }
+    };
+    serving.logged("the next process is there");
+    assert!(!serves(&mut behind), "it waits");
+    let mut front = FrontEnd::connect(&serving.resp);
+    pay(&mut front, 1, "key");
+    assert_eq!(serving.processor.begun(), try_id(1));
+    assert_eq!(behind.processor.count("begin"), 0);
+}
+
+#[rstest]
+fn both_processes_that_are_told_to_end_leave_nothing_unanswered() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "running");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.logged("the next process is there");
+    new.terminate();
+    assert!(new.ended().success(), "it has read nothing");
+    old.terminate();
+    old.logged("draining");
+    old.processor.complete(&try_id(1), b"first");
+    assert_eq!(front.answer().body, b"first");
+}
+
 #[rstest]
 fn new_settings_between_the_two_processes_keep_the_keys() {
     let (mut old, mut front) = held();
