Take a processor that starts anew for cold

Cause: Exchange::processor_up returned at every hello but the first. A processor that restarted, cold, under a node that went on was let the crowd of warm cores (Controller::ceiling), which cold ones do not survive.

Change: a hello that tells of a cold start over 500 ms later than the one before puts the module's warming back to that start; what it has learned stays. A processor that comes up late is a first hello, as before.

Seen to fail without it: a_processor_that_starts_anew_is_cold_once_more (with the call of cold_since left out: two runs at once).

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -50,6 +50,9 @@
 /// Whoever waits longer looks again then.
 const LONGEST_WAIT_MS: f64 = 30.0 * 24.0 * 3_600_000.0;
 
+/// A start of the processor that it tells this much later than the one before is another, in ms: the way of its word.
+const RESTARTED_MS: f64 = 500.0;
+
 /// Time over which oddities are counted into one line of the log each.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -184,6 +187,8 @@
     odd: BTreeMap<Oddity, u32>,
     /// Whether the processor has come up: nothing is decided before.
     up: bool,
+    /// When it started, by what it said last.
+    processor_started: f64,
     /// Whether the notice to leave has come.
     leaving: bool,
     /// When all that is open is to be answered, as the process is stopped then; infinite without a notice.
@@ -233,6 +238,7 @@
             serials: 0,
             odd: BTreeMap::new(),
             up: false,
+            processor_started: f64::NEG_INFINITY,
             leaving: false,
             stop_at: f64::INFINITY,
             wants_traffic: false,
@@ -384,8 +390,17 @@
         self.posture.ready = self.up && !self.leaving && self.successor.is_none() && !wished_away;
     }
 
-    /// Starts the decision module with the processor, whose age tells how far it has warmed.
+    /// Starts the decision module with the processor, whose age tells how far it has warmed. One that has started anew
+    /// since is cold once more; what the module has learned stays.
     fn processor_up(&mut self, cold: bool, age_ms: f64) {
+        let started = self.clock.now() - age_ms.max(0.0);
+        let before = std::mem::replace(&mut self.processor_started, started);
+        if self.up && cold && started - before > RESTARTED_MS {
+            info!("the processor has started anew, cold, since {age_ms} ms");
+            self.site.settings.cold = true;
+            self.share_room();
+            self.controller.cold_since(started);
+        }
         if self.leaving || std::mem::replace(&mut self.up, true) {
             return;
         }
@@ -395,7 +410,7 @@
             self.controller = controller;
         }
         self.share_room();
-        self.ask_controller(self.clock.now() - age_ms.max(0.0), &[]);
+        self.ask_controller(started, &[]);
     }
 
     fn submit(&mut self, id: RequestId, ask: Ask, reply: ReplyTo) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -549,6 +549,11 @@
         self.running + self.parked
     }
 
+    /// The cores have started anew, cold, at this clock time.
+    pub fn cold_since(&mut self, started_at: f64) {
+        self.started_at = Some(started_at);
+    }
+
     /// Takes all that has happened up to `now` (ms) and appends what is to be done, in order.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
         if now.is_finite() && (self.started_at.is_none() || now > self.now) {
--- a/tests/races_core.rs
+++ b/tests/races_core.rs
@@ -494,3 +494,38 @@
     assert_eq!(front.answer().body, b"five");
     assert_eq!(node.processor.count("begin"), 0);
 }
+
+#[rstest]
+fn a_processor_that_starts_anew_is_cold_once_more() {
+    let mut settings = unhurried();
+    // Warm cores take two runs, and cold ones one until they are nearly warm.
+    settings["rules"]["fall-multiple"] = json!(1.3);
+    settings["rules"]["cold"] = json!(6_000.0);
+    settings["rules"]["cold-from"] = json!(0.0);
+    let (mut node, mut front) = started(settings);
+    let since = unix_ms();
+    for tag in 1..=2 {
+        pay(&mut front, tag, &format!("warm-{tag}"));
+        assert_eq!(node.processor.begun(), try_id(tag), "both cores are used");
+    }
+    for tag in 1..=2 {
+        node.processor.complete(&try_id(tag), b"well");
+        assert_eq!(front.answer().body, b"well");
+    }
+    // The first start is long ago.
+    while unix_ms() < since + 6_500 {
+        decided(&mut front);
+    }
+    node.processor.break_link();
+    node.processor.greet("cold");
+    node.logged("the processor has started anew, cold");
+    pay(&mut front, 3, "cold-1");
+    pay(&mut front, 4, "cold-2");
+    let first = node.processor.begun();
+    decided(&mut front);
+    assert_eq!(node.processor.count("begin"), 0, "a cold one has one run at a time");
+    node.processor.complete(&first, b"well");
+    assert_eq!(front.answer().body, b"well");
+    let second = node.processor.begun();
+    assert!([&first, &second].contains(&&try_id(3)) && first != second);
+}
