Bound what all processes send to a server in slow start

Each process only took a cold server to be slower; nothing knew of the other processes.

Change: each process has a share of N: a rate, N over the processes and the time to warm, that gives tokens from a phase drawn at random, so that a fraction of a call is rounded by chance with an exact mean; the mean is put five standard deviations of the sum under the bound where many fractions are rounded. Tokens that are not used lapse. N is records.choice.slow_start_calls, or most_in_hand, which gives way where every server is in slow start; the processes are records.choice.processes, or `servers` of the platform's settings, or 1000 where nobody says. src/route/slow_start.rs states all of it. A server that refused the last connection is looked at within the share, once a second at most. What this costs: with many processes a server that was down is found again later (300 processes, 64 calls in 15 s: a look every two minutes each), unless the site lets nodes tell each other.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -22,6 +22,7 @@
 use thiserror::Error;
 
 use crate::interface::SettingsError;
+use crate::route::PROCESSES_UNKNOWN;
 use crate::validate::check;
 
 pub use copies::{CopiesTable, Late};
@@ -164,6 +165,10 @@
         let file = File::deserialize(&whole).map_err(bad)?;
         let mut config = Self::from_file(file, whole)?;
         config.operator = Operator::from_env()?;
+        let processes = config.processes();
+        if let Some(records) = &mut config.operator.records {
+            records.choice.processes.get_or_insert(processes);
+        }
         if let Ok(name) = std::env::var("PROXY_NAME") {
             config.name = name;
         }
@@ -185,6 +190,15 @@
         }
     }
 
+    /// Processes that are assumed to call the servers that this node calls: one for each node of its tier. Where the
+    /// settings name no number, one that no fleet is expected to have.
+    pub fn processes(&self) -> u32 {
+        match self.site.settings.servers {
+            0 => PROCESSES_UNKNOWN,
+            servers => servers,
+        }
+    }
+
     /// The text that is kept in the store: all but the settings and the secret.
     ///
     /// # Errors
--- a/src/config/routes.rs
+++ b/src/config/routes.rs
@@ -39,7 +39,9 @@
             ("warm_ms", c.warm_ms, 1.0, 3.6e6),
             ("warm_from", c.warm_from, 0.01, 1.0),
         ];
-        for (key, value, least, most) in figures {
+        let calls = c.slow_start_calls.map(|calls| ("slow_start_calls", calls, 0.0, 1e6));
+        let processes = c.processes.map(|processes| ("processes", f64::from(processes), 1.0, 1e6));
+        for (key, value, least, most) in figures.into_iter().chain(calls).chain(processes) {
             within(format!("records.choice.{key}"), value, (least, most), faults);
         }
         if self.servers.is_empty() || self.servers.len() > MOST_SERVERS {
--- a/src/node.rs
+++ b/src/node.rs
@@ -33,6 +33,7 @@
 use crate::partners::live;
 use crate::partners::lookup::InForce;
 use crate::peers::{Routes, Teller, learn};
+use crate::route::Options;
 use crate::store::{self, Contents};
 use crate::verdict;
 use crate::verdict::holding::Terms as Counted;
@@ -540,8 +541,9 @@
 /// The servers of sites. What the fleet has removed of those that this node has of itself is out there as well.
 fn sites(config: &Config, in_force: &Arc<InForce>, routes: Option<Rc<Routes>>) -> Rc<Sites> {
     let choice = config.operator.records.as_ref().map(|table| table.choice.clone());
+    let none_named = || Options { processes: Some(config.processes()), ..Options::default() };
     let is_out = move |server| routes.as_ref().is_some_and(|routes| routes.is_out(server));
-    Sites::new(in_force.clone(), choice.unwrap_or_default(), config.seed, is_out)
+    Sites::new(in_force.clone(), choice.unwrap_or_else(none_named), config.seed, is_out)
 }
 
 /// Puts the tables of sites in force as their files are now.
@@ -558,6 +560,9 @@
         (Some(routes), Some(table)) => {
             info!("calls go to {} servers", table.servers.len());
             routes.replace(&table.servers);
+            if let Some(processes) = table.choice.processes {
+                routes.share_among(processes);
+            }
         }
         (None, None) => {}
         _ => warn!("servers of the records service come or go as a whole at the next start only"),
--- a/src/peers/routes.rs
+++ b/src/peers/routes.rs
@@ -171,6 +171,11 @@
         self.pool.borrow_mut().replace(self.now(), servers);
     }
 
+    /// Shares slow starts among so many processes from here on.
+    pub fn share_among(&self, processes: u32) {
+        self.pool.borrow_mut().share_among(processes);
+    }
+
     /// What was measured here.
     pub fn digest(&self, teller: &str) -> Digest {
         self.pool.borrow().digest(self.now(), teller)
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,7 +11,9 @@
 mod outlier;
 mod pool;
 mod server;
+mod slow_start;
 
 pub use budget::RetryBudget;
 pub use pool::{Belief, Choice, Ended, Full, Kind, Options, Pool};
 pub use server::{ServerId, Spec, Standing};
+pub use slow_start::{PROCESSES_UNKNOWN, bound as slow_start_bound};
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -13,6 +13,7 @@
 use super::estimate::Rate;
 use super::outlier::{Measured, median, outliers};
 use super::server::{Server, ServerId, Spec, Standing, Start, TRIALS};
+use super::slow_start::{self, Terms};
 use crate::knowledge::{Digest, Heard, Inherited, Item, MOST_AGE_MS, MOST_LOG, Merged, Prior, Run, Sample};
 use crate::verdict::list::Share;
 
@@ -28,6 +29,9 @@
 /// Share of safe calls that go to a server on trial, while there is one, and how long it waits for one of those, in ms.
 const TRIAL_SHARE: f64 = 0.1;
 const TRIAL_WAITS_MS: f64 = 20_000.0;
+/// The least time between a refused connection and a call that is sent there to see whether the server is back, in ms:
+/// each may cost a further attempt out of the budget.
+const PROBE_WAITS_MS: f64 = 1_000.0;
 /// Share of safe calls that may go to a server because it was not measured for so long, in ms.
 const LOOK_SHARE: f64 = 0.02;
 const LOOK_AGE_MS: f64 = 20_000.0;
@@ -72,6 +76,13 @@
     pub warm_ms: f64,
     /// See `warm_ms`.
     pub warm_from: f64,
+    /// Calls that all processes together may make to a server of weight 1 in `warm_ms` from its start, in sum. Where
+    /// they are named they are kept to whatever happens; else they are `most_in_hand`, and are gone beyond where every
+    /// server is in slow start. See `route::slow_start`.
+    pub slow_start_calls: Option<f64>,
+    /// Processes that call these servers. Where it is not set, a node takes it for the nodes of its tier that the
+    /// platform's settings name, or for very many where those name none; a pool of none bounds no slow start.
+    pub processes: Option<u32>,
 }
 
 impl Default for Options {
@@ -84,6 +95,8 @@
             retry_share: 0.1,
             warm_ms: 15_000.0,
             warm_from: 0.25,
+            slow_start_calls: None,
+            processes: None,
         }
     }
 }
@@ -180,10 +193,22 @@
     budget: RetryBudget,
     in_hand: u64,
     reviewed: f64,
+    /// Whether the servers of the start are there: those that come later may just have started.
+    begun: bool,
+    /// Servers whose share in their slow start has no phase yet.
+    undrawn: Vec<ServerId>,
+    /// Servers that refused the last connection, where slow starts are bounded.
+    down: Vec<ServerId>,
     /// Whose turn it is to be looked at.
     turn: usize,
 }
 
+/// What a process's share in the slow start of a server of this weight goes by; none where it is not bounded.
+fn terms(options: &Options, weight: f64) -> Option<Terms> {
+    let calls = options.slow_start_calls.unwrap_or(options.most_in_hand) * weight;
+    options.processes.map(|processes| Terms::new(calls, processes, options.warm_ms))
+}
+
 impl Pool {
     /// A pool that knows nothing yet.
     pub fn new(now: f64, options: Options, specs: &[Spec]) -> Self {
@@ -200,9 +225,13 @@
             inherited: Inherited::default(),
             in_hand: 0,
             reviewed: now,
+            begun: false,
+            undrawn: Vec::new(),
+            down: Vec::new(),
             turn: 0,
         };
         pool.replace(now, specs);
+        pool.begun = true;
         pool
     }
 
@@ -217,6 +246,7 @@
             .map(|(_, id)| *id)
             .collect();
         for id in gone {
+            self.down.retain(|known| *known != id);
             if let Some(server) = self.servers.remove(id) {
                 self.by_address.remove(&server.spec.address);
                 self.in_hand -= u64::from(server.in_hand);
@@ -227,7 +257,8 @@
             match self.by_address.get(&spec.address).and_then(|id| self.servers.get_mut(*id)) {
                 Some(server) => server.spec = spec.clone(),
                 None => {
-                    let id = self.servers.insert(Server::new(spec.clone()));
+                    let listed = self.begun.then_some(now);
+                    let id = self.servers.insert(Server::new(spec.clone(), listed));
                     self.by_address.insert(spec.address, id);
                 }
             }
@@ -235,6 +266,11 @@
         self.review(now);
     }
 
+    /// Shares slow starts among so many processes from here on.
+    pub fn share_among(&mut self, processes: u32) {
+        self.options.processes = Some(processes);
+    }
+
     /// Follows what the fleet gives these servers; all others get their whole share. Calls in hand end as they do.
     pub fn follow(&mut self, now: f64, shares: BTreeMap<SocketAddr, Share>) {
         self.shares = shares;
@@ -289,15 +325,25 @@
             self.review(now);
         }
         let work = work.max(LEAST);
+        for id in std::mem::take(&mut self.undrawn) {
+            if let Some(share) = self.servers.get_mut(id).and_then(|server| server.slow_start.as_mut()) {
+                share.draw(rng.random());
+            }
+        }
         let part = if self.shares.is_empty() { 0.0 } else { rng.random() };
         let look = if safe { self.unmeasured(now, part, tried, rng) } else { None };
-        let looked = self.asked_for(now, safe, tried, rng);
+        let looked = self.probed(now, tried).or_else(|| self.asked_for(now, safe, tried, rng));
         let looked = looked.or_else(|| self.on_trial(now, safe, tried, rng)).or(look);
         let drawn = looked.or_else(|| self.drawn(now, work, part, tried, rng));
         let id = drawn.or_else(|| self.any(now, work, part, tried));
         let id = id.ok_or(Full)?;
         let slowed = self.slowed(id, now);
         let server = self.servers.get_mut(id).ok_or(Full)?;
+        if let Some(share) = &mut server.slow_start
+            && let Some(terms) = terms(&self.options, server.spec.weight)
+        {
+            share.take(now, &terms);
+        }
         server.in_hand += 1;
         self.in_hand += 1;
         if tried.is_empty() {
@@ -311,6 +357,19 @@
         self.budget.take()
     }
 
+    /// A server that refused the last connection, one call at a time and within this process's share: a refused connection
+    /// proves that the call never ran, whatever it is, and the share lapses where it is not used. Without a bound on slow
+    /// starts the choice itself finds such servers again.
+    fn probed(&self, now: f64, tried: &[ServerId]) -> Option<ServerId> {
+        let down = self.down.iter().filter_map(|id| Some((*id, self.servers.get(*id)?)));
+        let mut free = down.filter(|(id, server)| {
+            let open = self.share_of(server).is_some_and(|(share, terms)| share.is_open(now, &terms));
+            let waited = server.refused_at.is_some_and(|refused| now - refused >= PROBE_WAITS_MS);
+            open && waited && server.in_hand == 0 && !server.is_removed() && !tried.contains(id)
+        });
+        free.next().map(|(id, _)| id)
+    }
+
     /// A server on trial, one call at a time. Where no safe call came for long any call goes: a pool that has none
     /// would never get it back.
     fn on_trial(&self, now: f64, safe: bool, tried: &[ServerId], rng: &mut impl Rng) -> Option<ServerId> {
@@ -320,6 +379,7 @@
         }
         let id = trial[rng.random_range(..trial.len())];
         let free = |server: &Server| match (server.share, server.standing) {
+            _ if !self.is_open_yet(server, now) => false,
             (Share::Trial, _) => {
                 let waits = || server.measured().is_none_or(|measured| now - measured >= TRIAL_WAITS_MS);
                 server.in_hand == 0 && (safe || waits())
@@ -341,7 +401,7 @@
         }
         let id = asked[rng.random_range(..asked.len())];
         let old = |server: &Server| server.measured().is_none_or(|measured| now - measured >= ASKED_WAITS_MS);
-        let free = |server: &Server| server.in_hand == 0 && old(server);
+        let free = |server: &Server| server.in_hand == 0 && old(server) && self.is_open_yet(server, now);
         (!tried.contains(&id) && self.servers.get(id).is_some_and(free)).then_some(id)
     }
 
@@ -362,7 +422,7 @@
         let id = *near.get(self.turn).or_else(|| far.get(self.turn - near.len()))?;
         let server = self.servers.get(id)?;
         let old = server.measured().is_none_or(|measured| now - measured >= LOOK_AGE_MS);
-        let free = server.is_open(part) && self.has_room(server) && !tried.contains(&id);
+        let free = server.is_open(part) && self.has_room(server, now) && !tried.contains(&id);
         (old && free).then_some(id)
     }
 
@@ -376,7 +436,7 @@
         rng: &mut impl Rng,
     ) -> Option<ServerId> {
         let fit = |id: ServerId| {
-            let server = self.servers.get(id).filter(|server| self.has_room(server))?;
+            let server = self.servers.get(id).filter(|server| self.has_room(server, now))?;
             let usual = self.level.unwrap_or(0.0).exp() * work;
             let quick = (usual / self.cost(id, now, work)).clamp(LEAST_WANTED, 1.0);
             (server.is_open(part) && !tried.contains(&id)).then_some(server.spec.weight * quick)
@@ -389,12 +449,24 @@
     /// What the fleet has removed gets none.
     fn any(&self, now: f64, work: f64, part: f64, tried: &[ServerId]) -> Option<ServerId> {
         let with_room =
-            || self.servers.iter().filter(|(_, server)| self.has_room(server) && !server.is_removed());
+            || self.servers.iter().filter(|(_, server)| self.has_room(server, now) && !server.is_removed());
         let fresh = || with_room().filter(|(id, _)| !tried.contains(id));
         let within = fresh().filter(|(_, server)| server.is_open(part)).map(|(id, _)| id);
         self.cheapest(within, now, work)
             .or_else(|| self.cheapest(fresh().map(|(id, _)| id), now, work))
             .or_else(|| self.cheapest(with_room().map(|(id, _)| id), now, work))
+            .or_else(|| self.cheapest(self.all_in_slow_start(now, tried), now, work))
+    }
+
+    /// Those with places where every server is in slow start and nobody has named what they may get. Those that were
+    /// `tried` are left out.
+    fn all_in_slow_start(&self, now: f64, tried: &[ServerId]) -> impl Iterator<Item = ServerId> {
+        let gives_way = self.options.slow_start_calls.is_none()
+            && self.servers.values().all(|server| server.is_removed() || self.in_slow_start(server, now));
+        let free = move |(id, server): &(ServerId, &Server)| {
+            gives_way && self.has_places(server) && !server.is_removed() && !tried.contains(id)
+        };
+        self.servers.iter().filter(free).map(|(id, _)| id)
     }
 
     fn cheapest(&self, ids: impl Iterator<Item = ServerId>, now: f64, work: f64) -> Option<ServerId> {
@@ -402,10 +474,51 @@
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
-    fn has_room(&self, server: &Server) -> bool {
+    fn has_room(&self, server: &Server, now: f64) -> bool {
+        self.has_places(server) && self.is_open_yet(server, now)
+    }
+
+    fn has_places(&self, server: &Server) -> bool {
         f64::from(server.in_hand) < (self.options.most_in_hand * server.spec.weight).max(1.0)
     }
 
+    /// This process's share in a server's slow start, where that is bounded.
+    fn share_of<'a>(&self, server: &'a Server) -> Option<(&'a slow_start::Share, Terms)> {
+        let share = server.slow_start.as_ref()?;
+        Some((share, terms(&self.options, server.spec.weight)?))
+    }
+
+    fn in_slow_start(&self, server: &Server, now: f64) -> bool {
+        self.share_of(server).is_some_and(|(share, terms)| !share.is_over(now, &terms))
+    }
+
+    /// Whether a call may go to a server as far as its slow start is concerned: it is warm, or within this process's share.
+    fn is_open_yet(&self, server: &Server, now: f64) -> bool {
+        self.share_of(server)
+            .is_none_or(|(share, terms)| share.is_over(now, &terms) || share.is_open(now, &terms))
+    }
+
+    /// Follows what is known of a server's start: it comes into slow start, or out of it.
+    fn follow_start(&mut self, id: ServerId, now: f64) {
+        let told = self.inherited.start_of(id);
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let down = server.refused_at.is_some();
+        let started = if down { Some(now) } else { server.start.at.or(told).or(server.listed) };
+        let started = started.filter(|started| down || now - started < self.options.warm_ms);
+        if down != self.down.contains(&id) {
+            self.down.retain(|known| *known != id);
+            self.down.extend(down.then_some(id));
+        }
+        match (&mut server.slow_start, started) {
+            (Some(share), Some(since)) => share.turn_to(since, down),
+            (None, Some(since)) => server.slow_start = Some(slow_start::Share::new(now, since, down)),
+            (_, None) => server.slow_start = None,
+        }
+        if server.slow_start.as_ref().is_some_and(slow_start::Share::is_new) && !self.undrawn.contains(&id) {
+            self.undrawn.push(id);
+        }
+    }
+
     /// Log time beside the pool's of a server that is warm and idle.
     fn relative(&self, server: &Server, prior: &Prior, now: f64) -> f64 {
         let own = server.known.times.weight(now);
@@ -456,6 +569,7 @@
         server.in_hand = server.in_hand.saturating_sub(1);
         self.in_hand = self.in_hand.saturating_sub(1);
         self.note_start(now, choice.id, ended);
+        self.follow_start(choice.id, now);
         let log_time = self.sample(now, choice, ended);
         let failed = match ended.kind {
             Kind::Served => Some(false),
@@ -507,7 +621,7 @@
         let Some(server) = self.servers.get_mut(id) else { return };
         match ended.kind {
             Kind::Refused => {
-                server.refused_since.get_or_insert(now);
+                server.refused_at = Some(now);
                 return;
             }
             Kind::Unreachable | Kind::Withdrawn | Kind::Unsent => return,
@@ -515,7 +629,7 @@
         }
         let run = ended.run.unwrap_or(Run { incarnation: None, up_ms: None });
         let told = Start { incarnation: run.incarnation, at: run.up_ms.map(|up| now - up) };
-        let refused = server.refused_since;
+        let refused = server.refused_at;
         let another = server.is_another(told);
         let start = if another {
             Start { at: told.at.or(refused), ..told }
@@ -525,7 +639,7 @@
                 at: server.start.at.or(told.at),
             }
         };
-        server.refused_since = None;
+        server.refused_at = None;
         if another {
             server.restarted(start);
         }
@@ -547,6 +661,8 @@
             }
         }
         self.take_shares();
+        let ids: Vec<ServerId> = self.servers.keys().collect();
+        ids.into_iter().for_each(|id| self.follow_start(id, now));
         self.put_out(now);
         let zone = &self.options.zone;
         let mut eligible = Eligible::default();
--- a/src/route/server.rs
+++ b/src/route/server.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::estimate::{Mean, Rate};
+use super::slow_start;
 use crate::verdict::list::Share;
 
 slotmap::new_key_type! {
@@ -88,8 +89,12 @@
     pub(super) judged: Record,
     pub(super) in_hand: u32,
     pub(super) start: Start,
-    /// Since when each connection was refused.
-    pub(super) refused_since: Option<f64>,
+    /// When a connection was refused last, if nothing has been heard of it since.
+    pub(super) refused_at: Option<f64>,
+    /// When it came into the list, where that was later than this process: it may have started then.
+    pub(super) listed: Option<f64>,
+    /// This process's share of what it gets in slow start, while it is, or may be.
+    pub(super) slow_start: Option<slow_start::Share>,
     /// Failures since the last call that went well.
     pub(super) streak: u32,
     pub(super) standing: Standing,
@@ -98,14 +103,16 @@
 }
 
 impl Server {
-    pub(super) fn new(spec: Spec) -> Self {
+    pub(super) fn new(spec: Spec, listed: Option<f64>) -> Self {
         Self {
             spec,
             known: Record::default(),
             judged: Record::default(),
             in_hand: 0,
             start: Start::default(),
-            refused_since: None,
+            refused_at: None,
+            listed,
+            slow_start: None,
             streak: 0,
             standing: Standing::In,
             share: Share::Part(1.0),
@@ -133,7 +140,7 @@
         match (self.start, told) {
             (Start { incarnation: Some(known), .. }, Start { incarnation: Some(told), .. }) => known != told,
             (Start { at: Some(known), .. }, Start { at: Some(told), .. }) => told > known + START_SLACK_MS,
-            _ => self.refused_since.is_some(),
+            _ => self.refused_at.is_some(),
         }
     }
 
