Tell a request's age and due time at receipt, whatever wall clock is stepped

Cause: front/fields.rs took a request's age from the wall clock at each request, and failed it unread where its ts was over 1 s in the future or 600 s in the past. A step of an hour failed every request, one of 3 s made all look 3 s old, or 3 s young with due times 3 s late. A clock that was off at the start did so for good. A key's window counted from the ts by that clock, so an age that was overestimated ended it early.

Change: src/clock alone reads wall time (clippy.toml: disallowed-methods; a probe in partners/live.rs was seen to be rejected). src/clock/receipt.rs, pure, takes the smallest age that is not negative by the wall clock and by the clock that was anchored at the start; far apart, the request counts as received now with the smaller of timeout and limit; a constant offset is found from two windows without lag. The core gets the receipt as an Instant, the age and the patience as Durations. Windows count from the receipt of the try that ran. The end of a partner's route goes by the later of wall and anchored clock, so that a step back holds none longer. The decision module is unchanged.

Tests: tests/clocks.rs with an injected wall clock in the real program (debug builds only), and a planted error, windows on wall time, that its check finds. Ruled out: a bound of 30 s beyond what a caller waits, as fronts.rs asks that a request from a minute ago is not run.

--- a/src/back/records/sites.rs
+++ b/src/back/records/sites.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use foldhash::fast::RandomState;
 use log::{debug, info};
 use tokio::time::Instant;
 
 use super::USUAL_WORK;
+use crate::clock::utc_ms;
 use crate::config::RecordsTable;
 use crate::exchange::{Call, Catalog};
 use crate::partners::capacity::Given;
@@ -81,10 +81,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 /// What the table goes by of a call.
 fn asked<'a>(call: &Call, catalog: &'a Catalog) -> Asked<'a> {
     let origin = call.origin;
@@ -117,7 +113,7 @@
 
     /// A way by the table in force now; it is kept to the last try.
     pub(super) fn set_out(&self) -> Journey {
-        Journey { course: Course::new(self.table.get(), unix_ms()), stop: None }
+        Journey { course: Course::new(self.table.get(), utc_ms()), stop: None }
     }
 
     /// Where a call goes next: to another server of the site where it is, if it has not run there, else to the next site.
@@ -148,7 +144,7 @@
     /// Another server of the site where it is.
     fn stay(&self, journey: &mut Journey, call: &Call, asked: &Asked) -> Option<Leg> {
         let Journey { course, stop } = journey;
-        let stop = stop.as_mut().filter(|stop| course.still_serves(&stop.held, asked, unix_ms()))?;
+        let stop = stop.as_mut().filter(|stop| course.still_serves(&stop.held, asked, utc_ms()))?;
         if stop.tried.len() >= stop.pool.count() {
             return None;
         }
@@ -171,7 +167,7 @@
         rested: bool,
     ) -> Next<Leg> {
         let now = self.now();
-        let next = journey.course.next(asked, call.safe, tried, unix_ms(), |held| {
+        let next = journey.course.next(asked, call.safe, tried, utc_ms(), |held| {
             let allows = |standing: &Standing| standing.allows(call.safe, now);
             let is_fit = rested || self.inside.borrow().standings.get(&held.from).is_none_or(allows);
             is_fit.then(|| self.take(held, call, &[])).flatten().map(|taken| (held.clone(), taken))
--- a/src/exchange/catalog.rs
+++ b/src/exchange/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::clock::receipt::span;
 use crate::config::Site;
 use crate::interface::Effect;
 
@@ -16,6 +17,8 @@
     pub tenants: HashMap<String, usize>,
     /// Whether classes carry keys, by place.
     pub keyed: Vec<bool>,
+    /// The limits of classes, by place.
+    pub limits: Vec<Duration>,
     /// The names of all classes by place, also of those that are gone.
     pub names: Vec<String>,
     /// The names of the tenants by place; those that are gone have none.
@@ -39,6 +42,7 @@
             classes,
             tenants: places(&site.tenants),
             keyed: site.settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
+            limits: site.settings.classes.iter().map(|class| span(class.deadline_ms)).collect(),
             names: site.classes.clone(),
             owners: site.tenants.clone(),
             idle: idle_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0)),
--- a/src/exchange/claims.rs
+++ b/src/exchange/claims.rs
@@ -65,7 +65,7 @@
             request: id.0,
             key: KeyId::of(&self.site.classes[entry.class], operation),
             body: Body::of(&entry.body),
-            left_ms: whole(self.window_end(entry.class, entry.arrived) - self.clock.now()),
+            left_ms: whole(self.window_end(entry.class, entry.received) - self.clock.now()),
             wait_ms: share_ms.min(copies.claim_ms as u32),
             share_ms,
         })
--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -4,25 +4,28 @@
 use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use log::{debug, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
 
 use super::catalog::Catalog;
 use super::claims::{self, Copying};
 use super::handed::{Handed, Room};
 use super::kept::{Kept, Key, State};
+use super::receipts::Receipts;
 use super::types::{Answer, Ask, Call, Command, Input, Oddity, Origin, Posture, ReplyTo, TryId};
+use crate::clock::receipt::span;
+use crate::clock::{Anchored, wall_ms};
 use crate::config::{Site, gauges};
 use crate::copies::Errand;
 use crate::interface::{
     Action, Effect, Event, Gauges, Outcome, Request, RequestId, SayKind, Settings, SettingsError,
 };
 use crate::logic::Controller;
+use crate::planted::{self, Planted};
 
 /// Inputs taken into one batch at the most, so that timers have their turn in a flood.
 const BATCH: usize = 512;
@@ -57,23 +60,6 @@
     pub offered: watch::Sender<Rc<Catalog>>,
 }
 
-/// A clock in ms that starts at Unix time and never runs backwards.
-pub(super) struct Clock {
-    start_ms: f64,
-    start: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start_ms: unix.as_secs_f64() * 1000.0, start: Instant::now() }
-    }
-
-    pub(super) fn now(&self) -> f64 {
-        self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
-    }
-}
-
 /// One wait of the exchange.
 pub(super) enum Wait {
     /// The decision module asked to be woken.
@@ -129,6 +115,9 @@
     pub(super) key: Option<Key>,
     /// Its body, in short; the body itself goes with the run.
     digest: u64,
+    /// When it was read, and when it came to the machine, as far as clocks tell. Its age may be overestimated, so a
+    /// window that it opens counts from the former: it never ends early.
+    pub(super) received: f64,
     pub(super) arrived: f64,
     pub(super) body: Bytes,
     /// Whether its key is claimed at further nodes, and how long that took, in ms.
@@ -158,7 +147,10 @@
     pub(super) controller: Controller,
     seed: u64,
     pub(super) site: Site,
-    pub(super) clock: Clock,
+    pub(super) clock: Anchored,
+    receipts: Rc<Receipts>,
+    /// When the decision module is to be woken next, by the clock.
+    wakes_at: f64,
     pub(super) ids: Rc<Cell<u32>>,
     inputs: mpsc::Receiver<Input>,
     out: Outputs,
@@ -206,12 +198,15 @@
         ids: Rc<Cell<u32>>,
         inputs: mpsc::Receiver<Input>,
         out: Outputs,
+        receipts: Rc<Receipts>,
     ) -> Result<Self, SettingsError> {
         Ok(Self {
             controller: Controller::new(seed, site.settings.clone())?,
             seed,
             site: site.clone(),
-            clock: Clock::new(),
+            clock: receipts.clock(),
+            receipts,
+            wakes_at: f64::INFINITY,
             ids,
             inputs,
             out,
@@ -403,7 +398,11 @@
         }
         let settings = &self.site.settings;
         let class = &settings.classes[ask.class];
-        let arrived = now - ask.waited_ms;
+        let received = self.clock.at(ask.received);
+        // What it waited here behind other inputs counts as well.
+        let waited_ms = now - received + millis(ask.age);
+        let arrived = now - waited_ms;
+        let key_arrived = self.key_time(arrived);
         let key = match (class.effect, ask.op_key) {
             (Effect::Keyed, Some(op)) => Some(Key::Operation(ask.class, op)),
             (Effect::Safe, _) if settings.fresh_ms > 0.0 => {
@@ -412,14 +411,14 @@
             _ => None,
         };
         let digest = if key.is_some() { self.kept.digest(&ask.body) } else { 0 };
-        if key.as_ref().is_some_and(|key| self.kept.is_of_another(key, arrived, digest)) {
+        if key.as_ref().is_some_and(|key| self.kept.is_of_another(key, key_arrived, digest)) {
             return self.fail_taken(ask.of, reply);
         }
-        let told = ask.patience_ms.map(|patience_ms| arrived + patience_ms);
+        let told = ask.patience.map(|patience| arrived + millis(patience));
         let due = told.unwrap_or(arrived + class.deadline_ms).min(self.stop_at);
         // One that can only be refused carries no key: another try that is held under it goes on.
         let hopeless = due <= now + HOPELESS_MS;
-        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, arrived, hopeless));
+        let earlier = key.as_ref().and_then(|key| self.kept.earlier(key, key_arrived, hopeless));
         // A key that is there takes no further room, and its run may be over: its repeats get the result.
         if key.is_some() && earlier.is_none() && self.kept.is_full() {
             reply.send(self.turned_away(further), self.posture.level);
@@ -434,7 +433,7 @@
             && (earlier.is_none() || key.is_operation())
         {
             // The newest try of an operation carries it, so a third try in one batch repeats the second.
-            self.kept.hold(key, id, arrived, digest);
+            self.kept.hold(key, id, key_arrived, digest);
         }
         if let Some(key) = key.as_ref().filter(|key| key.is_operation()) {
             self.kept.look_up_until(key, due);
@@ -448,7 +447,7 @@
             due: told,
             hint_ms: ask.hint_ms,
             held_kb: ask.held_kb,
-            waited_ms: ask.waited_ms,
+            waited_ms,
             further: ask.further,
             earlier,
         }));
@@ -463,7 +462,8 @@
             origin,
             key,
             digest,
-            arrived,
+            received: self.key_time(received),
+            arrived: key_arrived,
             body,
             claimed,
             claim_ms,
@@ -477,6 +477,12 @@
         self.entries.insert(id, entry);
     }
 
+    /// A time as windows of keys go by it: on the clock, but for a planted error.
+    fn key_time(&self, at: f64) -> f64 {
+        let off_ms = planted::is(Planted::WindowOnWallTime).then(|| wall_ms() - self.clock.now());
+        at + off_ms.unwrap_or(0.0)
+    }
+
     /// The answer to one that is not taken in. One that may have run at another node is not refused unasked.
     fn turned_away(&self, further: bool) -> Answer {
         match further {
@@ -657,6 +663,7 @@
     fn wait_over(&mut self, wait: Wait) {
         match wait {
             Wait::Wake => {
+                self.receipts.timer_was_late(self.clock.now() - self.wakes_at);
                 self.measure();
                 self.tell_room();
             }
@@ -751,8 +758,8 @@
             Action::Say(_) => {}
             Action::CloseIdle { after_ms } => self.posture.idle_ms = Some(after_ms),
             Action::Wake { after_ms } => {
-                let after = Duration::from_secs_f64(after_ms.max(0.0) / 1000.0);
-                self.waits.insert(Wait::Wake, after);
+                self.wakes_at = self.clock.now() + after_ms.max(0.0);
+                self.waits.insert(Wait::Wake, span(after_ms));
             }
         }
     }
@@ -766,7 +773,7 @@
         if let Some(key) = entry.key.clone() {
             let class = &settings.classes[entry.class];
             let keyed = class.effect == Effect::Keyed;
-            let until = if keyed { entry.arrived + whole_ms(settings, entry.class) } else { f64::INFINITY };
+            let until = if keyed { entry.received + whole_ms(settings, entry.class) } else { f64::INFINITY };
             if !self.kept.begin(&key, id, entry.arrived, until, entry.digest) {
                 entry.phase = Phase::Sharing;
                 let of = entry.of;
@@ -795,9 +802,9 @@
         let _ = self.out.to_processor.send(Command::Begin { of, class, body });
     }
 
-    /// The end of the window of a run that arrived then.
-    pub(super) fn window_end(&self, class: usize, arrived: f64) -> f64 {
-        arrived + whole_ms(&self.site.settings, class)
+    /// The end of the window of a run that was received then.
+    pub(super) fn window_end(&self, class: usize, received: f64) -> f64 {
+        received + whole_ms(&self.site.settings, class)
     }
 
     fn refuse(&mut self, id: RequestId, stay_away_ms: f64, last: bool) {
@@ -862,12 +869,11 @@
     }
 }
 
-/// A wait of so many ms; none where they are gone already.
-fn span(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1000.0
 }
 
-/// How long after its arrival a run has repeats.
-fn whole_ms(settings: &Settings, class: usize) -> f64 {
+/// How long after its receipt a run has repeats.
+pub(super) fn whole_ms(settings: &Settings, class: usize) -> f64 {
     settings.classes[class].window_ms + settings.answer_slack_ms + 2.0 * WIRE_SLACK_MS
 }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -6,14 +6,19 @@
 mod core;
 mod handed;
 mod kept;
+mod receipts;
 mod succession;
 mod types;
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
+use self::receipts::Receipts;
+use crate::clock::receipt::{Receipt, Terms};
 use crate::config::Site;
 use crate::interface::{RequestId, SettingsError};
 
@@ -33,6 +38,7 @@
     next_id: Rc<Cell<u32>>,
     posture: watch::Receiver<Posture>,
     catalog: watch::Receiver<Rc<Catalog>>,
+    receipts: Rc<Receipts>,
 }
 
 impl Handle {
@@ -41,6 +47,12 @@
         next(&self.next_id)
     }
 
+    /// What a request comes to that says when it was sent.
+    pub fn receive(&self, ts_ms: f64, class: usize, patience: Option<Duration>, at: Instant) -> Receipt {
+        let limit = self.catalog.borrow().limits.get(class).copied().unwrap_or_default();
+        self.receipts.receive(ts_ms, Terms { patience, limit }, at)
+    }
+
     /// Hands over a request under its number; its answer goes to `reply`.
     pub async fn submit(&self, id: RequestId, ask: Ask, reply: ReplyTo) {
         self.tell(Input::Submit(id, ask, reply)).await;
@@ -92,6 +104,7 @@
     let (shown, posture) = watch::channel(Posture::default());
     let (offered, catalog) = watch::channel(Rc::new(Catalog::of(site, false)));
     let next_id = Rc::new(Cell::new(1));
+    let receipts = Rc::new(Receipts::begin());
     let exchange = Exchange::new(
         seed,
         site,
@@ -99,7 +112,8 @@
         next_id.clone(),
         from_sides,
         core::Outputs { to_processor, to_below, shown, offered },
+        receipts.clone(),
     )?;
-    let handle = Handle { inputs, next_id, posture, catalog };
+    let handle = Handle { inputs, next_id, posture, catalog, receipts };
     Ok((exchange, handle, Servers { commands, calls }))
 }
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -58,10 +58,10 @@
             Some(State::Served(result)) => Standing::Served(result.clone()),
             Some(State::Failed) => Standing::Failed,
         };
-        let arrived = row.and_then(|row| self.entries.get(&row.holder)).map(|entry| entry.arrived);
+        let received = row.and_then(|row| self.entries.get(&row.holder)).map(|entry| entry.received);
         // One that is held still may begin over here: its window is that of a run.
         let until =
-            row.map_or(0.0, |row| row.until).min(self.window_end(*class, arrived.unwrap_or(f64::MAX)));
+            row.map_or(0.0, |row| row.until).min(self.window_end(*class, received.unwrap_or(f64::MAX)));
         self.tell_successor(Handed::Key(HandedKey {
             class: self.site.classes[*class].clone(),
             operation: operation.to_string(),
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::time::Instant;
 
 use super::handed::Handed;
 use crate::config::Site;
@@ -71,10 +73,12 @@
     pub hint_ms: Option<f64>,
     /// Memory while held, in kB.
     pub held_kb: f64,
-    /// Time since it came to the machine, in ms.
-    pub waited_ms: f64,
-    /// How long after it came to the machine its caller gives up, in ms; the class's limit where it is not told.
-    pub patience_ms: Option<f64>,
+    /// When it was read.
+    pub received: Instant,
+    /// How long before that it came to the machine.
+    pub age: Duration,
+    /// How long after it came to the machine its caller gives up; the class's limit where it is not told.
+    pub patience: Option<Duration>,
     /// The body, as it came.
     pub body: Bytes,
 }
--- a/src/front/fields.rs
+++ b/src/front/fields.rs
@@ -2,18 +2,18 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use thiserror::Error;
+use tokio::time::Instant;
 
 use super::Shared;
+use crate::clock::receipt::{self, Receipt, span};
 use crate::exchange::{Ask, Catalog, TryId};
 
 /// The longest key of an operation.
 const KEY_BYTES: usize = 64;
-/// How far the time at which a request came to the machine may lie in the future and in the past, in ms.
-const TIMES_MS: (f64, f64) = (1_000.0, 600_000.0);
 /// The most work that a request may announce, in ms.
 const WORK_MS: f64 = 600_000.0;
 /// The longest that a request's caller may wait for it, in ms.
@@ -69,8 +69,13 @@
         self.via.map_or(Ok(0), str::parse::<u32>).map_err(|_| Unfit::Figure)?;
         figure(self.level, |level| (0.0..1.0).contains(&level))?;
         let need = figure(self.need_kb, |kb| kb > 0.0 && kb < NEED_KB)?;
-        let since = |ts: f64| unix_ms() - ts;
-        let ts = figure(self.ts, |ts| (-TIMES_MS.0..=TIMES_MS.1).contains(&since(ts)))?;
+        let ts = figure(self.ts, receipt::is_plausible)?;
+        let patience = figure(self.timeout_ms, |ms| ms > 0.0 && ms <= PATIENCE_MS)?.map(span);
+        let received = Instant::now();
+        let Receipt { age, patience } = match ts {
+            Some(ts) => shared.exchange.receive(ts, class, patience, received),
+            None => Receipt { age: Duration::ZERO, patience },
+        };
         Ok(Ask {
             of: self
                 .req
@@ -85,9 +90,9 @@
             further: self.further()?,
             hint_ms: figure(self.work_ms, |ms| (0.0..=WORK_MS).contains(&ms))?,
             held_kb: need.unwrap_or(0.0),
-            // A clock that is behind the caller's counts as none.
-            waited_ms: ts.map_or(0.0, |ts| since(ts).max(0.0)),
-            patience_ms: figure(self.timeout_ms, |ms| ms > 0.0 && ms <= PATIENCE_MS)?,
+            received,
+            age,
+            patience,
             body,
         })
     }
@@ -126,7 +131,3 @@
     let Some(text) = text else { return Ok(None) };
     text.parse().ok().filter(|value: &f64| value.is_finite() && fits(*value)).map(Some).ok_or(Unfit::Figure)
 }
-
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod back;
 mod base64;
+pub mod clock;
 pub mod config;
 pub mod copies;
 pub mod duty;
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::back::records::sites::Sites;
 use crate::back::{control, processor, records};
+use crate::clock;
 use crate::config::{Config, ConfigError, CopiesTable, Operator, Peers, RecordsTable, RoutesTable};
 use crate::copies::News;
 use crate::copies::slots::Terms;
@@ -74,6 +75,7 @@
 /// # Errors
 /// It cannot listen, or its settings are not accepted.
 pub async fn run(config: Config) -> Result<(), NodeError> {
+    clock::start();
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/partners/site.rs
+++ b/src/partners/site.rs
@@ -6,7 +6,6 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::{error, info, warn};
 use serde::{Deserialize, Serialize};
@@ -22,6 +21,7 @@
 use super::restrict::Sites;
 use super::route::Name;
 use super::table::{Terms, Version};
+use crate::clock::utc_ms;
 use crate::config::{PartnersTable, SiteTable};
 use crate::duty::hold::Held;
 use crate::duty::lease::now_ms;
@@ -181,8 +181,7 @@
 
 /// Which time it is.
 pub(super) fn now() -> Now {
-    let utc = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
-    Now { own: now_ms(), utc }
+    Now { own: now_ms(), utc: utc_ms() }
 }
 
 impl Site {
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -42,6 +42,8 @@
     HolderUnproved,
     /// The next one that counts votes goes on from whatever list one node tells.
     ListUnproved,
+    /// The windows of keys are compared with the wall clock.
+    WindowOnWallTime,
 }
 
 thread_local! {
@@ -62,6 +64,7 @@
         Planted::RefusedForgotten,
         Planted::HolderUnproved,
         Planted::ListUnproved,
+        Planted::WindowOnWallTime,
     ];
     of_processes.into_iter().find(|planted| format!("{planted:?}") == named)
 });
--- a/tests/installed/world.rs
+++ b/tests/installed/world.rs
@@ -66,6 +66,8 @@
     pub verdict: Result<(), (Broken, String)>,
 }
 
+/// The wall clock of this machine, as callers read it.
+#[allow(clippy::disallowed_methods)]
 fn unix_ms() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -55,6 +55,8 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}})
 }
 
+/// The wall clock of this machine, as callers read it.
+#[allow(clippy::disallowed_methods)]
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis() as u64
 }
@@ -81,6 +83,8 @@
     dir: Arc<Dir>,
     file: PathBuf,
     config: Value,
+    /// Holds the offset of its wall clock.
+    wall: PathBuf,
     /// The clients' socket, where the platform holds it.
     held: Option<TcpListener>,
     pub resp: String,
@@ -150,6 +154,9 @@
             config["records"] = other;
         }
         let file = dir.0.join(format!("config-{}.json", processor.port));
+        let wall = dir.0.join(format!("wall-{}", processor.port));
+        let [offset, planted] = ["wall_offset_ms", "planted"].map(|name| take(&mut config, name));
+        put_offset(&wall, offset.as_ref().and_then(Value::as_i64).unwrap_or(0));
         std::fs::write(&file, config.to_string()).expect("a file");
         let mut command = match &held {
             None => Command::new(PROGRAM),
@@ -161,6 +168,13 @@
                 shell
             }
         };
+        // Others read the wall clock as it is.
+        if offset.is_some() {
+            command.env("SILLFLOW_WALL_OFFSET", &wall);
+        }
+        if let Some(planted) = planted.as_ref().and_then(Value::as_str) {
+            command.env("SILLFLOW_PLANTED", planted);
+        }
         let mut child = command
             .env("PROXY_CONFIG", &file)
             .env("SILLFLOW_OPERATOR", dir.0.join("operator.toml"))
@@ -174,8 +188,22 @@
         let log = lines(child.stderr.take().expect("a pipe"));
         let (resp, ajp, admin) = (String::new(), String::new(), String::new());
         let seen = Vec::new();
-        let mut node =
-            Self { child, log, seen, dir, file, config, held, resp, ajp, admin, processor, records, control };
+        let mut node = Self {
+            child,
+            log,
+            seen,
+            dir,
+            file,
+            config,
+            wall,
+            held,
+            resp,
+            ajp,
+            admin,
+            processor,
+            records,
+            control,
+        };
         node.resp = node.address("listens on");
         node.admin = node.address("listens for operators on");
         if node.held.is_none() {
@@ -190,6 +218,19 @@
         Self::spawn(self.config.clone(), self.dir.clone(), held)
     }
 
+    /// The same with its wall clock off by this.
+    pub fn successor_at(&self, offset_ms: i64) -> Self {
+        let held = self.held.as_ref().map(|held| held.try_clone().expect("a handle"));
+        let mut config = self.config.clone();
+        config["wall_offset_ms"] = json!(offset_ms);
+        Self::spawn(config, self.dir.clone(), held)
+    }
+
+    /// Puts the wall clock of this process off by this, where its configuration has a `wall_offset_ms`.
+    pub fn step_wall(&self, offset_ms: i64) {
+        put_offset(&self.wall, offset_ms);
+    }
+
     /// The address at the end of a line of the log.
     fn address(&mut self, part: &str) -> String {
         self.logged(part).rsplit(' ').next().unwrap_or_default().to_owned()
@@ -206,6 +247,12 @@
         }
     }
 
+    /// Whether a line of the log has come that holds this.
+    pub fn has_logged(&mut self, part: &str) -> bool {
+        self.seen.extend(self.log.try_iter());
+        self.seen.iter().any(|line| line.contains(part))
+    }
+
     /// Waits for a report of this state.
     pub fn reported(&mut self, state: &str) {
         let mut datagram = [0; 64];
@@ -331,6 +378,17 @@
     }
 }
 
+fn take(config: &mut Value, name: &str) -> Option<Value> {
+    config.as_object_mut().and_then(|config| config.remove(name))
+}
+
+/// A reader has the offset before or this one, never half of one.
+fn put_offset(wall: &std::path::Path, offset_ms: i64) {
+    let new = wall.with_extension("new");
+    std::fs::write(&new, offset_ms.to_string()).expect("a file");
+    std::fs::rename(&new, wall).expect("a file");
+}
+
 fn name_peers(config: &mut Value, processor: &Processor, records: &Records, control: &UdpSocket) {
     config["processor"] = format!("127.0.0.1:{}", processor.port).into();
     config["records"] = format!("127.0.0.1:{}", records.port).into();
