Hand keys to the next process with spans, not times of another clock

Cause: HandedKey.until is a time of the old process's clock, which is anchored at its own start, and was read against the new one's. With a step between the two starts the window ended early (exchange/succession.rs, take_key) or lasted an hour longer. A window that had been opened under longer settings was cut to the present ones as well.

Change: left_ms, the span that is left, goes along and is anchored anew when it is read; what the message takes on its way only lengthens the window. The old field stays for processes of an older version, which ignore the new one. From one that sends no span a key has a whole window from its hand-over. A run's own end is handed on; only one that is held still gets the window of a run. Spans are bounded by 30 days, so none overflows a timer.

Tests: a_window_is_handed_to_a_process_with_another_wall_clock, by 3 s and an hour either way.

--- a/src/exchange/handed.rs
+++ b/src/exchange/handed.rs
@@ -33,8 +33,12 @@
     pub operation: String,
     /// The body of its tries, in short.
     pub digest: u64,
-    /// Requests that arrive later than this, in Unix ms, are no repeats.
+    /// Requests that arrive later than this are no repeats, in Unix ms on the clock of the process that hands it over.
+    /// Versions that know of no spans read it; a wall clock that was stepped makes it another time for the next process.
     pub until: f64,
+    /// How long from now on requests that arrive are repeats, in ms. Versions that know of no spans do not say.
+    #[serde(default)]
+    pub left_ms: Option<f64>,
     /// What has come of it.
     pub standing: Standing,
 }
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -1,17 +1,19 @@
 //! One process of a node after the other: the old one hands its keys over and finishes what it has open, the new
 //! one runs nothing that the old one may have run.
 
-use std::time::Duration;
-
 use log::info;
 use tokio::sync::mpsc;
 
-use super::core::{Exchange, Wait};
+use super::core::{Exchange, Wait, whole_ms};
 use super::handed::{Handed, HandedKey, Room, Standing, Turn};
 use super::kept::{Key, State};
 use super::next;
+use crate::clock::receipt::span;
 use crate::interface::RequestId;
 
+/// No window that is handed over lasts longer than this, in ms: 30 days.
+const MOST_LEFT_MS: f64 = 30.0 * 86_400_000.0;
+
 impl Exchange {
     /// Tells the next process all keys, and that it is to serve from here on.
     pub(super) fn hand_over(&mut self, successor: mpsc::UnboundedSender<Handed>) {
@@ -58,15 +60,20 @@
             Some(State::Served(result)) => Standing::Served(result.clone()),
             Some(State::Failed) => Standing::Failed,
         };
-        let received = row.and_then(|row| self.entries.get(&row.holder)).map(|entry| entry.received);
+        let now = self.clock.now();
+        let received = row.and_then(|row| self.entries.get(&row.holder)).map_or(now, |entry| entry.received);
         // One that is held still may begin over here: its window is that of a run.
-        let until =
-            row.map_or(0.0, |row| row.until).min(self.window_end(*class, received.unwrap_or(f64::MAX)));
+        let until = match row.map(|row| row.until) {
+            Some(until) if until.is_finite() => until,
+            Some(_) => self.window_end(*class, received),
+            None => 0.0,
+        };
         self.tell_successor(Handed::Key(HandedKey {
             class: self.site.classes[*class].clone(),
             operation: operation.to_string(),
             digest: row.map_or(0, |row| row.digest),
             until,
+            left_ms: Some((until - now).max(0.0)),
             standing,
         }));
     }
@@ -92,7 +99,7 @@
     }
 
     fn take_key(&mut self, handed: HandedKey) {
-        let HandedKey { class, operation, digest, until, standing } = handed;
+        let HandedKey { class, operation, digest, left_ms, standing, .. } = handed;
         // Where the class is gone nobody can ask for it.
         let Some(class) = self.site.classes.iter().position(|name| *name == class) else { return };
         let key = Key::Operation(class, operation.into());
@@ -106,11 +113,11 @@
         }
         let holder = holder.unwrap_or_else(|| {
             let holder = next(&self.ids);
-            self.kept.adopt(key.clone(), holder, until, digest);
+            let left_ms = self.left_of_window(class, left_ms);
+            self.kept.adopt(key.clone(), holder, self.clock.now() + left_ms, digest);
             self.foreign.insert(key.clone(), holder);
-            let lasts_ms =
-                (until - self.clock.now()).max(0.0) + self.site.settings.classes[class].deadline_ms;
-            self.waits.insert(Wait::Key(key.clone(), holder), Duration::from_secs_f64(lasts_ms / 1000.0));
+            let lasts_ms = left_ms + self.site.settings.classes[class].deadline_ms;
+            self.waits.insert(Wait::Key(key.clone(), holder), span(lasts_ms));
             holder
         });
         match standing {
@@ -120,6 +127,13 @@
         }
     }
 
+    /// How long the window of a key lasts from its hand-over on, in ms: as long as the process before says, and at least
+    /// the whole window where that is of a version that names a time of its own clock alone.
+    fn left_of_window(&self, class: usize, left_ms: Option<f64>) -> f64 {
+        let told = left_ms.filter(|ms| ms.is_finite()).map(|ms| ms.clamp(0.0, MOST_LEFT_MS));
+        told.unwrap_or_else(|| whole_ms(&self.site.settings, class))
+    }
+
     /// What another process had in hand is over: those that wait for it here are answered.
     fn end_foreign(&mut self, key: &Key, holder: RequestId, state: State) {
         self.foreign.remove(key);
--- a/tests/clocks.rs
+++ b/tests/clocks.rs
@@ -419,6 +419,42 @@
     served(&mut node, &mut front, 2, "plate-check", "");
 }
 
+/// A node whose listening socket the platform holds, and a further process of it whose wall clock is off by this.
+fn two_processes(offset_ms: i64) -> (Node, Node, FrontEnd) {
+    let mut config = configured(0);
+    config["stop_ms"] = json!(60_000);
+    // On a busy machine it takes seconds to start a process beside this one.
+    config["settings"]["classes"][2]["repeat-window"] = json!(HANDED_WINDOW_MS);
+    let mut old = Node::launch_held_as(config);
+    old.processor.greet("warm");
+    old.reported("Ready");
+    let mut new = old.successor_at(offset_ms);
+    new.processor.greet("warm");
+    new.logged("the processor is up");
+    old.logged("the next process is there");
+    let front = FrontEnd::connect(&old.resp);
+    (old, new, front)
+}
+
+/// The window of the keyed class where a process follows another, in ms.
+const HANDED_WINDOW_MS: u64 = 4000;
+
+#[rstest]
+fn a_window_is_handed_to_a_process_with_another_wall_clock(
+    #[values(3000, -3000, HOUR_MS, -HOUR_MS)] offset_ms: i64,
+) {
+    let (mut old, mut new, mut front) = two_processes(offset_ms);
+    let sent = Instant::now();
+    served(&mut old, &mut front, 1, "pay-session", ",opkey=k");
+    old.terminate();
+    new.reported("Ready");
+    let mut next = FrontEnd::connect(&new.resp);
+    // By its callers' clocks, whatever the new process shows.
+    let ran = repeats_until_run(&mut new, &mut next, sent);
+    assert!(ran > ms(HANDED_WINDOW_MS), "it ran twice within {ran:?}");
+    drop((front, next));
+}
+
 /// How long after the first try was sent a repeat of it runs again.
 fn repeats_until_run(node: &mut Node, front: &mut FrontEnd, sent: Instant) -> Duration {
     for tag in 100.. {
