Show that a step of the wall clock holds no partner's route longer

With utc_ms by the wall clock alone, both cases of a_step_back_holds_no_route_longer fail: the call goes to the site whose route has ended.

--- a/tests/partners_path.rs
+++ b/tests/partners_path.rs
@@ -48,6 +48,15 @@
 
 impl Play {
     fn start(history: &History, offers: &[Offer]) -> Self {
+        Self::begin(history, offers, None)
+    }
+
+    /// The same with a wall clock that can be stepped.
+    fn start_with_clock(history: &History, offers: &[Offer]) -> Self {
+        Self::begin(history, offers, Some(0))
+    }
+
+    fn begin(history: &History, offers: &[Offer], wall_offset_ms: Option<i64>) -> Self {
         let name = format!("sillflow-path-{}-{:x}", std::process::id(), rand::random::<u64>());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -57,7 +66,11 @@
                                 {"name": "astana", "portion": 0.5, "quota-rps": 1000.0}]);
         let files =
             SITES.map(|site| format!("[[routes.files]]\nof = {site:?}\nfile = {:?}\n", folder.join(site)));
-        let mut node = Node::launch_with(all, &format!("[routes]\nsite = \"home\"\n{}", files.concat()));
+        let mut config = support::config(all);
+        if let Some(offset_ms) = wall_offset_ms {
+            config["wall_offset_ms"] = json!(offset_ms);
+        }
+        let mut node = Node::launch_as(config, &format!("[routes]\nsite = \"home\"\n{}", files.concat()));
         node.processor.greet("warm");
         node.reported("Ready");
         let front = FrontEnd::connect(&node.resp);
@@ -261,6 +274,43 @@
     assert_eq!(history.sites(&of), ["a", "c"]);
 }
 
+#[rstest]
+#[case::seconds(-3000)]
+#[case::an_hour(-3_600_000)]
+fn a_step_back_holds_no_route_longer(#[case] step_ms: i64) {
+    let history = History::default();
+    let [a, b, c] = ["a", "b", "c"].map(|site| Server::start(site, Deed::Serve, &history));
+    a.does(Deed::Gate);
+    let mut play = Play::start_with_clock(&history, &[]);
+    let end = unix_ms() + 400;
+    let ending = Offer { until: Some(end), ..Offer::new("b", &[b.address], 2) };
+    play.turn(&[Offer::new("a", &[a.address], 3), ending, Offer::new("c", &[c.address], 1)]);
+    let of = play.call("pay-session", ",opkey=k");
+    let held = a.held();
+    play.node.step_wall(step_ms);
+    std::thread::sleep(Duration::from_millis(end.saturating_sub(unix_ms()) + 2));
+    drop(held.reply_raw(&not_begun()));
+    play.served(&of);
+    assert_eq!(history.sites(&of), ["a", "c"]);
+}
+
+#[rstest]
+#[case::seconds(3000)]
+#[case::an_hour(3_600_000)]
+fn a_step_forward_ends_a_route_only_for_as_long_as_it_lasts(#[case] step_ms: i64) {
+    let history = History::default();
+    let [b, c] = ["b", "c"].map(|site| Server::start(site, Deed::Serve, &history));
+    let mut play = Play::start_with_clock(&history, &[]);
+    // Long enough for a busy machine, and over by the clock that is stepped.
+    let until = Some(unix_ms() + 60_000);
+    let ending = Offer { until, ..Offer::new("b", &[b.address], 2) };
+    play.turn(&[ending, Offer::new("c", &[c.address], 1)]);
+    play.node.step_wall(step_ms + 60_000);
+    assert_eq!(play.went("history", ""), ["c"]);
+    play.node.step_wall(0);
+    assert_eq!(play.went("history", ""), ["b"]);
+}
+
 #[rstest]
 fn with_no_server_left_a_call_has_a_clear_end() {
     let history = History::default();
