--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::back::records::sites::Sites;
 use crate::back::{control, processor, records};
+use crate::clock;
 use crate::config::{
     Config, ConfigError, CopiesTable, Descriptors, Operator, Peers, RecordsTable, RoutesTable,
 };
@@ -98,6 +99,7 @@
 /// # Errors
 /// It cannot listen, or its settings are not accepted.
 pub async fn run(config: Config, signals: Signals) -> Result<(), NodeError> {
+    clock::start();
     let Signals { hangup, mut terminate, mut interrupt } = signals;
     let listener = match config.inherited {
         Some(descriptor) => inherit::listener(descriptor)?,
