--- a/tests/members.rs
+++ b/tests/members.rs
@@ -37,6 +37,22 @@
     assert_eq!(rig.reads(1, "b"), Some("later".to_owned()));
 }
 
+/// The one that led is told at its start that it does, by its own file; what it had acknowledged last may not be applied.
+#[rstest]
+fn a_read_after_all_were_killed_misses_nothing_that_was_acknowledged() {
+    let mut rig = Rig::new(3);
+    rig.form(3);
+    for round in 0..4 {
+        let leader = rig.led(&[1, 2, 3]);
+        let rest = others(leader, &[1, 2, 3]);
+        rig.kill(rest[0]);
+        rig.writes(rest[1], "a", &round.to_string());
+        [rest[1], leader].iter().for_each(|n| rig.kill(*n));
+        [rest[0], rest[1], leader].iter().for_each(|n| rig.up(*n));
+        assert_eq!(rig.reads(rest[1], "a"), Some(round.to_string()));
+    }
+}
+
 /// Plays of faults and callers; each prints what it does, and the same seed does it again.
 #[rstest]
 #[case(1, 3)]
