Have copies and the fleet's part wait for a failing folder, and lose no name of a file

Findings, by code path: the copies' file was made in place and its directory never synced, so claims that were given could be lost with the name of their file, and a kill while it was made left a file that nothing could open; behind an error it was opened with `create`, which begins an empty one where the file is gone, and goes on in it; the word of a life was committed in one phase, so after a failed sync pages were read that no sync would ever write; a renewal that failed was logged and passed over; a panic of the database on a torn head ended the fleet's thread without a word; a full device at the start ended the node's part in the fleet for the life of the process; the fleet's file was renamed without a sync of its directory, and a view that could not be kept waited for the next change.

Change: the file is made whole under another name; it is opened again only as the life and with all that was kept; every commit has two phases; nothing is kept before a renewal is; the part waits for its folder, tells why (fleet, copies), and takes its place as the life that it was.

Seen to fail without it: a_life_of_copies_that_is_read_after_a_sync_that_failed_lasts (one phase: "the database makes no sense of it" after a loss of power), a_node_that_starts_with_a_failing_folder_belongs_again_by_itself (the part ends).

--- a/src/copies/disk.rs
+++ b/src/copies/disk.rs
@@ -8,13 +8,15 @@
 use std::sync::{Mutex, PoisonError};
 
 use rand::Rng;
-use redb::{Database, Durability, ReadableTable, TableDefinition};
+use redb::{Database, Durability, ReadableTable, TableDefinition, WriteTransaction};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::holder::Held;
 use super::key::KeyId;
 use super::register::Row;
+use crate::durable::database::{self, OpenError};
+use crate::durable::{create_directory, is_transient};
 use crate::store::witness::Witness;
 
 const ROWS: TableDefinition<'_, u128, &[u8]> = TableDefinition::new("rows");
@@ -46,6 +48,17 @@
         /// What was found.
         what: String,
     },
+    /// The file cannot be opened or made.
+    #[error("{0}")]
+    Open(#[from] OpenError),
+    /// The file that is opened again is not the one that was kept in.
+    #[error("{path}: {what}; nothing is kept until it is back")]
+    Replaced {
+        /// Which file.
+        path: PathBuf,
+        /// What was found.
+        what: String,
+    },
     /// The database says no.
     #[error("{0}")]
     Database(Box<redb::Error>),
@@ -54,6 +67,22 @@
     Form(#[from] postcard::Error),
 }
 
+impl DiskError {
+    /// Whether the directory may work again without anyone looking at it.
+    pub fn is_transient(&self) -> bool {
+        match self {
+            Self::Unusable { cause, .. } => is_transient(cause),
+            Self::Open(problem) => problem.is_transient(),
+            Self::Database(problem) => match problem.as_ref() {
+                redb::Error::Io(cause) => is_transient(cause),
+                redb::Error::PreviousIo => true,
+                _ => false,
+            },
+            Self::Damaged { .. } | Self::Replaced { .. } | Self::Form(_) => false,
+        }
+    }
+}
+
 fn db<T, E: Into<redb::Error>>(result: Result<T, E>) -> Result<T, DiskError> {
     result.map_err(|e| DiskError::Database(Box::new(e.into())))
 }
@@ -109,6 +138,8 @@
     /// The word of the directory, and how often something was kept there.
     birth: AtomicU64,
     count: AtomicU64,
+    /// The word of a life that could not be begun on disk yet: nothing is kept before it is.
+    renewing: Mutex<Option<u64>>,
     /// What stands beside the directory and tells an old one; none where nothing can be written there.
     witness: Option<Witness>,
 }
@@ -119,7 +150,20 @@
     first
 }
 
-/// Writes changes and how often something was kept, all of it or none.
+/// Commits all of this, or nothing of it counts as kept.
+fn write<T>(
+    database: &Database,
+    work: impl FnOnce(&WriteTransaction) -> Result<T, DiskError>,
+) -> Result<T, DiskError> {
+    let mut write = db(database.begin_write())?;
+    write.set_durability(Durability::Immediate);
+    write.set_two_phase_commit(true);
+    let done = work(&write)?;
+    db(write.commit())?;
+    Ok(done)
+}
+
+/// Writes changes and how often something was kept.
 fn commit(
     database: &Database,
     incarnation: u64,
@@ -127,11 +171,8 @@
     changes: &[Change],
     count: u64,
 ) -> Result<(), DiskError> {
-    let mut write = db(database.begin_write())?;
-    write.set_durability(Durability::Immediate);
-    write.set_two_phase_commit(true);
-    db(db(write.open_table(META))?.insert(COUNT, count))?;
-    {
+    write(database, |write| {
+        db(db(write.open_table(META))?.insert(COUNT, count))?;
         let mut table = db(write.open_table(ROWS))?;
         for change in changes {
             let Some(held) = &change.held else {
@@ -144,8 +185,18 @@
             let row = [&digest(&body)[..], &body].concat();
             db(table.insert(change.key.0, row.as_slice()))?;
         }
-    }
-    db(write.commit())
+        Ok(())
+    })
+}
+
+/// Writes what a new life begins with: its word, and no rows.
+pub(crate) fn begin(database: &Database, birth: u64) -> Result<(), DiskError> {
+    write(database, |write| {
+        db(db(write.open_table(META))?.insert(BIRTH, birth))?;
+        db(write.delete_table(ROWS))?;
+        db(write.open_table(ROWS))?;
+        Ok(())
+    })
 }
 
 impl Disk {
@@ -156,21 +207,34 @@
     pub fn open(directory: &Path, now: u64) -> Result<(Self, Found), DiskError> {
         let path = directory.join(FILE);
         let unusable = |cause| DiskError::Unusable { path: path.clone(), cause };
-        std::fs::create_dir_all(directory).map_err(unusable)?;
-        let database = db(Database::create(&path))?;
+        create_directory(directory).map_err(unusable)?;
+        let database = if path.try_exists().map_err(unusable)? {
+            database::open(&path)?
+        } else {
+            database::create(&path, |database, _| {
+                begin(&database, rand::rng().random())?;
+                Ok::<_, DiskError>(database)
+            })?
+        };
         let witness = Witness::open(directory);
         let disk = Self {
             database: Mutex::new(Some(database)),
             path,
             birth: AtomicU64::new(0),
             count: AtomicU64::new(0),
+            renewing: Mutex::new(None),
             witness,
         };
-        let (birth, count) = disk.on(Self::read_meta)?;
+        // A failed read says what the database knows, not which file it was.
+        let named = |problem| match problem {
+            DiskError::Database(problem) => DiskError::Open(OpenError::of(&disk.path, *problem)),
+            problem => problem,
+        };
+        let (birth, count) = disk.on(|database| disk.read_meta(database)).map_err(named)?;
         disk.birth.store(birth, Relaxed);
         disk.count.store(count, Relaxed);
         let seen = disk.witness.as_ref().and_then(|witness| witness.count(birth));
-        let lives = disk.on(|database| disk.lives(database, now))?;
+        let lives = disk.on(|database| disk.lives(database, now)).map_err(named)?;
         Ok((disk, Found { birth, lives, is_old: seen.is_some_and(|seen| seen > count) }))
     }
 
@@ -179,32 +243,40 @@
         let mut open = self.database.lock().unwrap_or_else(PoisonError::into_inner);
         let database = match open.take() {
             Some(database) => database,
-            None => db(Database::create(&self.path))?,
+            None => self.reopen()?,
         };
         let done = work(&database)?;
         *open = Some(database);
         Ok(done)
     }
 
-    /// The word of the directory, which gets one where it has none, and how often something was kept.
-    fn read_meta(database: &Database) -> Result<(u64, u64), DiskError> {
-        let write = db(database.begin_write())?;
-        let meta = {
-            let mut meta = db(write.open_table(META))?;
-            db(write.open_table(ROWS))?;
-            let kept = db(meta.get(BIRTH))?.map(|word| word.value());
-            let birth = match kept {
-                Some(birth) => birth,
-                None => {
-                    let birth = rand::rng().random();
-                    db(meta.insert(BIRTH, birth))?;
-                    birth
-                }
-            };
-            (birth, db(meta.get(COUNT))?.map_or(0, |count| count.value()))
-        };
-        db(write.commit())?;
-        Ok(meta)
+    /// Opens the file again behind an error: every page is read against its digest. It must be the one that was kept in,
+    /// with all that was kept; of what failed last it may have everything or nothing.
+    fn reopen(&self) -> Result<Database, DiskError> {
+        let database = database::open(&self.path)?;
+        let (birth, count) = self.read_meta(&database)?;
+        let renewing = *self.renewing.lock().unwrap_or_else(PoisonError::into_inner);
+        let (own, kept) = (self.birth.load(Relaxed), self.count.load(Relaxed));
+        let replaced = |what| DiskError::Replaced { path: self.path.clone(), what };
+        if birth != own && Some(birth) != renewing {
+            return Err(replaced(format!("it is of life {birth:016x}, not of {own:016x}")));
+        }
+        if count < kept {
+            return Err(replaced(format!("something was kept {count} times in it, not {kept} times")));
+        }
+        Ok(database)
+    }
+
+    /// The word of the directory, and how often something was kept.
+    fn read_meta(&self, database: &Database) -> Result<(u64, u64), DiskError> {
+        let read = db(database.begin_read())?;
+        let meta = db(read.open_table(META))?;
+        let birth = db(meta.get(BIRTH))?.map(|word| word.value());
+        let birth = birth.ok_or_else(|| DiskError::Replaced {
+            path: self.path.clone(),
+            what: "it says of no life whose it is".to_owned(),
+        })?;
+        Ok((birth, db(meta.get(COUNT))?.map_or(0, |count| count.value())))
     }
 
     fn lives(&self, database: &Database, now: u64) -> Result<BTreeMap<u64, Restored>, DiskError> {
@@ -237,6 +309,7 @@
     /// # Errors
     /// Nothing may be said to be kept.
     pub fn keep(&self, incarnation: u64, now: u64, changes: &[Change]) -> Result<(), DiskError> {
+        self.begin_renewed()?;
         // One writer at a time.
         let count = self.count.load(Relaxed) + 1;
         self.on(|database| commit(database, incarnation, now, changes, count))?;
@@ -248,20 +321,22 @@
     /// Begins another life of the node: what was held in the one before is given up.
     ///
     /// # Errors
-    /// It is not begun.
+    /// It is not begun on disk. Nothing is kept until it is: [`Self::keep`] tries again.
     pub fn renew(&self, birth: u64) -> Result<(), DiskError> {
-        self.on(|database| {
-            let mut write = db(database.begin_write())?;
-            write.set_two_phase_commit(true);
-            {
-                let mut meta = db(write.open_table(META))?;
-                db(meta.insert(BIRTH, birth))?;
-                db(write.delete_table(ROWS))?;
-                db(write.open_table(ROWS))?;
-            }
-            db(write.commit())
-        })?;
+        *self.renewing.lock().unwrap_or_else(PoisonError::into_inner) = Some(birth);
+        self.begin_renewed()
+    }
+
+    fn begin_renewed(&self) -> Result<(), DiskError> {
+        let Some(birth) = *self.renewing.lock().unwrap_or_else(PoisonError::into_inner) else {
+            return Ok(());
+        };
+        self.on(|database| begin(database, birth))?;
         self.birth.store(birth, Relaxed);
+        let mut renewing = self.renewing.lock().unwrap_or_else(PoisonError::into_inner);
+        if *renewing == Some(birth) {
+            *renewing = None;
+        }
         Ok(())
     }
 }
--- a/src/copies/machine.rs
+++ b/src/copies/machine.rs
@@ -704,6 +704,7 @@
         }
         let standing = self.holder.standing();
         Report {
+            trouble: None,
             terms: self.slots.terms(),
             slots: self.holder.slots().count(),
             slots_moving: self.slots.all().filter(|(_, slot)| slot.pending.is_some()).count(),
--- a/src/copies/report.rs
+++ b/src/copies/report.rs
@@ -45,6 +45,9 @@
 /// How one node stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
+    /// Why nothing can be kept on disk, and no claim be given here, while that is so.
+    #[serde(default)]
+    pub trouble: Option<String>,
     /// What the fleet keeps to.
     pub terms: Option<Terms>,
     /// Slots that this node holds, or is to.
--- a/src/fleet/copying.rs
+++ b/src/fleet/copying.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::config::CopiesTable;
-use crate::copies::disk::{Change as Kept, Disk, Found};
+use crate::copies::disk::{Change as Kept, Disk, DiskError, Found};
 use crate::copies::keeping::Keeping;
 use crate::copies::key::KeyId;
 use crate::copies::report::{Report, Zone};
@@ -63,7 +63,7 @@
     /// A page, or none where it was not to be had.
     Fetched(u64, Fetch, Option<Page>),
     /// What was to be synced is, or not.
-    Synced(bool),
+    Synced(Result<(), String>),
     /// The time after a sync that has failed is over.
     Rested,
     /// The store has made a change, which is in the view of this number, or has not.
@@ -77,6 +77,8 @@
 struct Keeper {
     disk: Arc<Disk>,
     keeping: Keeping<(Target, Message)>,
+    /// Why nothing can be kept, while that is so.
+    trouble: Option<String>,
 }
 
 /// The copies of a node, beside its part in the fleet.
@@ -133,10 +135,9 @@
         &mut self,
         now: u64,
         life: impl Fn(u64, Option<u64>) -> Option<u64>,
-    ) -> Result<u64, String> {
+    ) -> Result<u64, DiskError> {
         let Some(directory) = self.part.table.directory.clone() else { return Ok(rand::random()) };
-        let (disk, Found { mut birth, mut lives, is_old }) =
-            Disk::open(&directory, now).map_err(|e| e.to_string())?;
+        let (disk, Found { mut birth, mut lives, is_old }) = Disk::open(&directory, now)?;
         let last = lives.keys().next_back().copied();
         let me = life(birth, last).filter(|_| !is_old);
         if let Some(me) = me {
@@ -149,9 +150,9 @@
                 if is_old { "older than what was kept here last" } else { "of a life that is not known" };
             warn!("{} is {why}: the node comes back as another life", directory.display());
             birth = rand::random();
-            disk.renew(birth).map_err(|e| e.to_string())?;
+            disk.renew(birth)?;
         }
-        self.keeper = Some(Keeper { disk: Arc::new(disk), keeping: Keeping::default() });
+        self.keeper = Some(Keeper { disk: Arc::new(disk), keeping: Keeping::default(), trouble: None });
         Ok(birth)
     }
 
@@ -160,7 +161,7 @@
         if let Some(keeper) = &mut self.keeper {
             keeper.keeping.renew();
             if let Err(problem) = keeper.disk.renew(birth) {
-                error!("the copies of the life before are not given up: {problem}");
+                error!("nothing is kept until the copies of the life before are given up: {problem}");
             }
         }
     }
@@ -291,7 +292,7 @@
                 }
                 Vec::new()
             }
-            Woken::Inside(Inside::Synced(well)) => return (self.synced(now, well), false),
+            Woken::Inside(Inside::Synced(synced)) => return (self.synced(now, synced), false),
             Woken::Inside(Inside::Rested) => {
                 if let Some(keeper) = &mut self.keeper {
                     keeper.keeping.rested();
@@ -449,35 +450,38 @@
         let (disk, inside, life) = (keeper.disk.clone(), self.inside.clone(), holder.life().unwrap_or(0));
         spawn_local(async move {
             let kept = spawn_blocking(move || disk.keep(life, now, &changes)).await;
-            let well = match kept {
-                Ok(Ok(())) => true,
-                Ok(Err(problem)) => {
-                    warn!("claims cannot be kept, and are not given: {problem}");
-                    false
-                }
-                Err(problem) => {
-                    warn!("claims cannot be kept, and are not given: {problem}");
-                    false
-                }
+            let synced = match kept {
+                Ok(kept) => kept.map_err(|problem| problem.to_string()),
+                Err(problem) => Err(problem.to_string()),
             };
-            let _ = inside.send(Inside::Synced(well));
+            let _ = inside.send(Inside::Synced(synced));
         });
     }
 
-    fn synced(&mut self, now: u64, well: bool) -> Vec<Datagram> {
+    fn synced(&mut self, now: u64, synced: Result<(), String>) -> Vec<Datagram> {
         let mut datagrams = Vec::new();
         if let Some(keeper) = &mut self.keeper {
-            if well {
-                keeper.keeping.synced().into_iter().for_each(|(target, message)| {
-                    reply(Some(target), message, &mut datagrams);
-                });
-            } else {
-                keeper.keeping.failed();
-                let inside = self.inside.clone();
-                spawn_local(async move {
-                    tokio::time::sleep(REST).await;
-                    let _ = inside.send(Inside::Rested);
-                });
+            match synced {
+                Ok(()) => {
+                    if keeper.trouble.take().is_some() {
+                        info!("claims are kept and given again");
+                    }
+                    keeper.keeping.synced().into_iter().for_each(|(target, message)| {
+                        reply(Some(target), message, &mut datagrams);
+                    });
+                }
+                Err(problem) => {
+                    if keeper.trouble.is_none() {
+                        warn!("claims cannot be kept, and are not given until they can: {problem}");
+                    }
+                    keeper.trouble = Some(problem);
+                    keeper.keeping.failed();
+                    let inside = self.inside.clone();
+                    spawn_local(async move {
+                        tokio::time::sleep(REST).await;
+                        let _ = inside.send(Inside::Rested);
+                    });
+                }
             }
         }
         self.sync(now);
@@ -487,6 +491,7 @@
     /// What an operator is shown.
     pub(super) fn report(&self, alive: &dyn Fn(u64) -> bool, view: &View) -> Report {
         let mut report = self.machine.report(alive);
+        report.trouble = self.keeper.as_ref().and_then(|keeper| keeper.trouble.clone());
         let nodes = view.nodes().chain(view.leaving());
         for node in nodes {
             let zone: &mut Zone = report.zones.entry(node.applicant.zone.clone()).or_default();
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -6,7 +6,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +23,8 @@
 
 use crate::config::FleetTable;
 use crate::copies;
+use crate::copies::disk::DiskError;
+use crate::durable::{LoadError, SmallFile, is_transient};
 use crate::duty::hold::Ends;
 use crate::duty::table::Grants;
 use crate::frame::{receive_within, send};
@@ -73,13 +74,31 @@
     #[error("{0}")]
     Io(#[from] io::Error),
     /// What it kept cannot be read.
-    #[error("{path}: {problem}")]
-    Kept {
+    #[error(transparent)]
+    Load(#[from] LoadError),
+    /// The file of its view cannot be begun.
+    #[error("{path}: {cause}")]
+    Store {
         /// The file.
         path: String,
-        /// What is wrong with it.
-        problem: String,
+        /// What the system says.
+        cause: io::Error,
     },
+    /// Its copies cannot be taken up.
+    #[error("copies: {0}")]
+    Copies(#[from] DiskError),
+}
+
+impl FleetError {
+    /// Whether the folder may work again without anyone looking at it.
+    fn is_transient(&self) -> bool {
+        match self {
+            Self::Io(_) => false,
+            Self::Load(problem) => problem.is_transient(),
+            Self::Store { cause, .. } => is_transient(cause),
+            Self::Copies(problem) => problem.is_transient(),
+        }
+    }
 }
 
 /// What a node keeps over a restart.
@@ -92,6 +111,9 @@
 /// How long a node keeps a view that it has turned to in memory alone: 100 that join at once are one file.
 const KEEP_AFTER: Duration = Duration::from_millis(200);
 
+/// Time until a view that could not be kept, or a folder that could not be taken up, is tried again.
+const KEEP_AGAIN: Duration = Duration::from_secs(1);
+
 /// A node's part in the fleet.
 pub struct Options {
     /// The node's name.
@@ -154,8 +176,10 @@
     spawn_local(store.clone().follow());
     spawn_local(belong(store.clone(), wished, said));
     let (keeps, to_keep) = watch::channel(Kept { birth: 0, view: View::default() });
+    let (unkept, shows_unkept) = watch::channel(None);
     let began = Instant::now();
     let mut daemon = Daemon {
+        unkept: shows_unkept,
         copying: copies.map(|part| Copying::new(part, store.clone(), rng().random())),
         duties,
         partners,
@@ -196,9 +220,9 @@
     let (socket, door) = take_place(daemon.table.listen, guest).await?;
     info!("{} listens for the fleet on {}", daemon.name, door.local_addr()?);
     spawn_local(open_door(door, asked, store.clone()));
-    daemon.settle_in(socket.local_addr()?)?;
-    if let Some(path) = path(&daemon.table) {
-        spawn_local(keep_view(path, to_keep));
+    daemon.settle(socket.local_addr()?, &mut inputs.questions, &socket).await?;
+    if let Some(file) = file(&daemon.table) {
+        spawn_local(keep_view(file, to_keep, unkept));
     }
     daemon.run(&socket, &mut inputs, false).await;
     Ok(())
@@ -239,16 +263,29 @@
     alone: watch::Receiver<bool>,
 }
 
-/// Writes what the node keeps beside the thread that is heard by the others, and not more often than it must.
-async fn keep_view(path: PathBuf, mut kept: watch::Receiver<Kept>) {
+/// Writes what the node keeps beside the thread that is heard by the others, and not more often than it must; what could
+/// not be written is written again.
+async fn keep_view(file: SmallFile, mut kept: watch::Receiver<Kept>, unkept: watch::Sender<Option<String>>) {
     while kept.changed().await.is_ok() {
         sleep(KEEP_AFTER).await;
-        let now = kept.borrow_and_update().clone();
-        let file = path.clone();
-        match spawn_blocking(move || write(&file, &now)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(problem)) => warn!("{}: the view is not kept: {problem}", path.display()),
-            Err(problem) => warn!("{}: the view is not kept: {problem}", path.display()),
+        loop {
+            let (now, to) = (kept.borrow_and_update().clone(), file.clone());
+            let stored = match spawn_blocking(move || to.store(&now)).await {
+                Ok(stored) => stored,
+                Err(problem) => Err(io::Error::other(problem)),
+            };
+            let problem = stored.err().map(|problem| format!("{}: {problem}", file.path().display()));
+            match (&problem, unkept.borrow().is_some()) {
+                (Some(problem), false) => warn!("the fleet's view is not kept until it can be: {problem}"),
+                (None, true) => info!("the fleet's view is kept again"),
+                _ => {}
+            }
+            let failed = problem.is_some();
+            unkept.send_replace(problem);
+            if !failed {
+                break;
+            }
+            sleep(KEEP_AGAIN).await;
         }
     }
 }
@@ -257,34 +294,19 @@
 
 /// What was kept at the last run, or a new word.
 fn keep(table: &FleetTable, name: &str) -> Result<Kept, FleetError> {
-    let Some(path) = path(table) else { return Ok(Kept { birth: rng().random(), view: View::default() }) };
-    let bad = |problem: String| FleetError::Kept { path: path.display().to_string(), problem };
-    match std::fs::read(&path) {
-        Ok(text) => serde_json::from_slice(&text).map_err(|e| bad(e.to_string())),
-        Err(problem) if problem.kind() == io::ErrorKind::NotFound => {
-            let kept = Kept { birth: rng().random(), view: View::default() };
-            write(&path, &kept).map_err(|e| bad(e.to_string()))?;
-            info!("{name} begins a new life in the fleet, {:016x}", kept.birth);
-            Ok(kept)
-        }
-        Err(problem) => Err(bad(problem.to_string())),
-    }
+    let fresh = Kept { birth: rng().random(), view: View::default() };
+    let Some(file) = file(table) else { return Ok(fresh) };
+    if let Some(kept) = file.load()? {
+        return Ok(kept);
+    }
+    let path = || file.path().display().to_string();
+    file.store(&fresh).map_err(|cause| FleetError::Store { path: path(), cause })?;
+    info!("{name} begins a new life in the fleet, {:016x}", fresh.birth);
+    Ok(fresh)
 }
 
-fn path(table: &FleetTable) -> Option<PathBuf> {
-    table.directory.as_ref().map(|directory| directory.join(FILE))
-}
-
-/// Writes the whole file or none of it.
-fn write(path: &std::path::Path, kept: &Kept) -> io::Result<()> {
-    if let Some(directory) = path.parent() {
-        std::fs::create_dir_all(directory)?;
-    }
-    let early = path.with_extension("new");
-    let mut file = std::fs::File::create(&early)?;
-    serde_json::to_writer(&mut file, kept)?;
-    file.sync_all()?;
-    std::fs::rename(&early, path)
+fn file(table: &FleetTable) -> Option<SmallFile> {
+    table.directory.as_ref().map(|directory| SmallFile::new(directory.join(FILE)))
 }
 
 /// Asks to belong for as long as the node wishes to and does not.
@@ -434,6 +456,8 @@
     partners: Option<watch::Receiver<crate::partners::live::Report>>,
     verdicts: Option<watch::Receiver<verdict::part::Report>>,
     keeps: watch::Sender<Kept>,
+    /// Why the view is not kept, while that is so.
+    unkept: watch::Receiver<Option<String>>,
     /// The life that this node had when it left, for as long as it hands on what it held.
     leaving: Option<u64>,
     /// Whether the store has said to this process that its life belongs: what was kept on disk may be older.
@@ -445,6 +469,38 @@
         self.began.elapsed().as_millis() as u64
     }
 
+    /// Takes its place. While a folder fails it asks for none, and tells whoever asks why.
+    async fn settle(
+        &mut self,
+        address: SocketAddr,
+        questions: &mut mpsc::Receiver<Asked>,
+        socket: &UdpSocket,
+    ) -> Result<(), FleetError> {
+        let mut waited = false;
+        while let Err(problem) = self.settle_in(address) {
+            if !problem.is_transient() {
+                return Err(problem);
+            }
+            if !waited {
+                warn!("{} does not belong to the fleet until its folder works: {problem}", self.name);
+            }
+            waited = true;
+            self.trouble = Some(problem.to_string());
+            let again = sleep(KEEP_AGAIN);
+            tokio::pin!(again);
+            loop {
+                tokio::select! {
+                    () = &mut again => break,
+                    Some(asks) = questions.recv() => self.asked(socket, asks).await,
+                }
+            }
+        }
+        if waited {
+            info!("the folder of {} works again", self.name);
+        }
+        Ok(())
+    }
+
     /// Takes its place, once no other process of the node has it.
     fn settle_in(&mut self, address: SocketAddr) -> Result<(), FleetError> {
         let Kept { birth, view } = keep(&self.table, &self.name)?;
@@ -459,9 +515,7 @@
             // What is held is synced before anyone hears of it, the view a while later: it may lack this life.
             let (name, view) = (&self.name, &self.view);
             let life = |birth, last| view.life_of(name, birth, last);
-            self.applicant.birth = copying
-                .take_up(now, life)
-                .map_err(|problem| FleetError::Kept { path: "copies".to_owned(), problem })?;
+            self.applicant.birth = copying.take_up(now, life)?;
         }
         self.wishes.send_replace(Some(self.applicant.clone()));
         let _ = self.turned();
@@ -811,7 +865,7 @@
         Report {
             name: self.name.clone(),
             incarnation: self.incarnation,
-            trouble: self.trouble.clone(),
+            trouble: self.trouble.clone().or_else(|| self.unkept.borrow().clone()),
             view: self.view.number(),
             view_age_ms,
             freshness: freshness(view_age_ms),
--- a/src/report.rs
+++ b/src/report.rs
@@ -182,5 +182,7 @@
             zone.moving.to_string(),
         ]);
     }
-    format!("{lines}\n{}\n", table.trim_fmt())
+    let trouble = report.trouble.as_ref();
+    let trouble = trouble.map_or(String::new(), |trouble| format!("nothing can be kept: {trouble}\n"));
+    format!("{trouble}{lines}\n{}\n", table.trim_fmt())
 }
--- a/src/store/lossy.rs
+++ b/src/store/lossy.rs
@@ -7,12 +7,13 @@
 
 use openraft::{CommittedLeaderId, Entry, EntryPayload, LogId};
 use proptest::prelude::*;
-use redb::StorageBackend;
+use redb::{Database, StorageBackend, TableDefinition};
 
 use super::decide::identity::Identity;
 use super::disk::Disk;
 use super::map::{Batch, Deed, Logged};
 use super::{Change, Types};
+use crate::copies::disk as copies;
 use crate::planted::{self, Planted};
 
 /// A write, or a new length, that waits for a sync.
@@ -245,6 +246,33 @@
     assert!(!found.is_empty(), "nothing is found");
 }
 
+/// The life that a file of copies says, where it can be read.
+fn life(lossy: &Lossy) -> Result<Option<u64>, String> {
+    let opened = std::panic::catch_unwind(|| {
+        let database = Database::builder().create_with_backend(lossy.clone()).map_err(|e| e.to_string())?;
+        let read = database.begin_read().map_err(|e| e.to_string())?;
+        let Ok(meta) = read.open_table(TableDefinition::<&str, u64>::new("meta")) else { return Ok(None) };
+        Ok(meta.get("birth").map_err(|e| e.to_string())?.map(|birth| birth.value()))
+    });
+    opened.unwrap_or_else(|_| Err("the database makes no sense of it".to_owned()))
+}
+
+/// Copies begin a life as the store commits, so that what is read from the cache after a failed sync lasts.
+#[test]
+fn a_life_of_copies_that_is_read_after_a_sync_that_failed_lasts() {
+    for syncs in 0..4 {
+        let lossy = Lossy::default();
+        let database = Database::builder().create_with_backend(lossy.clone()).expect("a database");
+        lossy.0.lock().expect("a lock").fails = Some(syncs);
+        let begun = copies::begin(&database, 11);
+        drop(database);
+        lossy.0.lock().expect("a lock").fails = None;
+        let again = life(&lossy).expect("it is opened again");
+        assert!(begun.is_err() || again == Some(11), "{again:?}");
+        assert_eq!(life(&lossy.after_the_loss(0)), Ok(again), "sync {syncs}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/tests/folders.rs
+++ b/tests/folders.rs
@@ -4,6 +4,8 @@
 mod rig;
 mod support;
 
+use rig::copied::judge;
+use rig::copies::{End, patiently};
 use rig::{PATIENCE, Rig, until};
 use rstest::rstest;
 use sillflow::store::Status;
@@ -100,3 +102,72 @@
     assert_eq!(rig.reads(3, "a"), Some("one".to_owned()));
     rig.writes(3, "b", "two");
 }
+
+/// A holder of copies whose folder fails gives no claims, and gives them again by itself. What was shared before is shared
+/// after all have been started again.
+#[rstest]
+#[case::write("write")]
+#[case::sync("sync")]
+fn a_holder_whose_folder_fails_gives_no_claims_and_gives_them_again(#[case] operation: &str) {
+    let (mut rig, work) = patiently(5, "directory = \"DIR\"");
+    (0..5).for_each(|key| assert!(matches!(rig.requests(1, key, &work.seen), End::Done(_))));
+    // One of those that have no member of the store.
+    rig.folders_fail(5, operation);
+    (10..25).for_each(|key| assert!(matches!(rig.requests(1, key, &work.seen), End::Done(_))));
+    rig.logged(5, "claims cannot be kept, and are not given until they can");
+    let shown = rig.held(5).and_then(|report| report.trouble);
+    assert!(shown.is_some_and(|trouble| !trouble.is_empty()), "its command says so");
+    rig.folders_work(5);
+    rig.logged(5, "claims are kept and given again");
+    until("its command says so", PATIENCE, || rig.held(5).is_some_and(|report| report.trouble.is_none()));
+    (30..40).for_each(|key| assert!(matches!(rig.requests(5, key, &work.seen), End::Done(_))));
+    (1..=5).for_each(|n| rig.kill(n));
+    (1..=5).for_each(|n| rig.again(n));
+    until("all belong", PATIENCE, || rig.all_see(&[1, 2, 3, 4, 5], 5));
+    for key in (0..5).chain(10..25).chain(30..40) {
+        assert!(matches!(rig.requests(2, key, &work.seen), End::Done(_)), "{key}");
+        assert_eq!(work.runs(key).len(), 1, "{key} runs once");
+    }
+    assert_eq!(judge(&work.seen.lock().expect("a lock").clone()), []);
+}
+
+/// A node whose folder fails at its start tells why it does not belong, and belongs as the life that it was once it works.
+#[rstest]
+#[case::write("write")]
+#[case::sync("sync")]
+fn a_node_that_starts_with_a_failing_folder_belongs_again_by_itself(#[case] operation: &str) {
+    let (mut rig, work) = patiently(5, "directory = \"DIR\"");
+    (0..5).for_each(|key| assert!(matches!(rig.requests(5, key, &work.seen), End::Done(_))));
+    let life = rig.seen(5).and_then(|report| report.incarnation).expect("it belongs");
+    rig.kill(5);
+    rig.folders_fail(5, operation);
+    rig.again(5);
+    rig.logged(5, "does not belong to the fleet until its folder works");
+    until("its command says so", PATIENCE, || {
+        rig.seen(5).and_then(|report| report.trouble).is_some_and(|trouble| trouble.contains("copies.redb"))
+    });
+    rig.folders_work(5);
+    until("it belongs", PATIENCE, || rig.seen(5).and_then(|report| report.incarnation) == Some(life));
+    (0..5).for_each(|key| assert!(matches!(rig.requests(5, key, &work.seen), End::Done(_))));
+    assert_eq!(judge(&work.seen.lock().expect("a lock").clone()), []);
+}
+
+/// A file that is gone while the folder fails is not begun empty: others count on what was in it.
+#[rstest]
+fn a_file_of_copies_that_is_gone_is_not_begun_empty() {
+    let (rig, work) = patiently(5, "directory = \"DIR\"");
+    (0..5).for_each(|key| assert!(matches!(rig.requests(1, key, &work.seen), End::Done(_))));
+    rig.folders_fail(5, "sync");
+    (10..25).for_each(|key| assert!(matches!(rig.requests(1, key, &work.seen), End::Done(_))));
+    rig.logged(5, "claims cannot be kept, and are not given until they can");
+    let path = std::path::Path::new(&rig.copies_dir(5)).join("copies.redb");
+    std::fs::rename(&path, path.with_extension("away")).expect("a file");
+    rig.folders_work(5);
+    let trouble = || rig.held(5).and_then(|report| report.trouble).unwrap_or_default();
+    until("it misses its file", PATIENCE, || trouble().contains("copies.redb: No such file"));
+    (30..40).for_each(|key| assert!(matches!(rig.requests(1, key, &work.seen), End::Done(_))));
+    assert!(!path.exists(), "no empty one is put in its place");
+    std::fs::rename(path.with_extension("away"), &path).expect("a file");
+    until("it has its file again", PATIENCE, || trouble().is_empty());
+    assert_eq!(judge(&work.seen.lock().expect("a lock").clone()), []);
+}
