Keep the numbers of lists and duties and the table of partners by one tested module

The logic of "write a small file as a whole" stood in four places. It is `durable::SmallFile` now: a temporary that was left is taken away, each try writes all of it again, the directory and those that were made for it are synced, and a file that is torn is named with the byte and left as it is (before: a message of the JSON reader without a path). Votes and partners' routes wait for a folder that fails at their start instead of ending, and say once a spell that a number or a table cannot be kept; a table that could not be kept is written at the next turn.

Seen to fail without the directory's sync: whichever_call_fails_at_whichever_byte_a_file_is_whole_and_what_was_acknowledged_is_there.

--- a/src/duty/fence.rs
+++ b/src/duty/fence.rs
@@ -3,13 +3,14 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
-use std::fs::{self, File};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::durable::{LoadError, SmallFile};
+
 use super::{DutyName, MOST_DUTIES};
 
 /// Under which number of which duty something is done. Those of one duty are ordered by their numbers.
@@ -65,7 +66,7 @@
 #[derive(Debug, Default)]
 pub struct Guard {
     seen: BTreeMap<DutyName, u64>,
-    path: Option<PathBuf>,
+    file: Option<SmallFile>,
 }
 
 impl Guard {
@@ -78,13 +79,9 @@
     ///
     /// # Errors
     /// The file cannot be read, or is none of a guard.
-    pub fn open(path: &Path) -> io::Result<Self> {
-        let seen = match fs::read(path) {
-            Ok(text) => serde_json::from_slice(&text)?,
-            Err(problem) if problem.kind() == io::ErrorKind::NotFound => BTreeMap::new(),
-            Err(problem) => return Err(problem),
-        };
-        Ok(Self { seen, path: Some(path.to_owned()) })
+    pub fn open(path: &Path) -> Result<Self, LoadError> {
+        let file = SmallFile::new(path.to_owned());
+        Ok(Self { seen: file.load()?.unwrap_or_default(), file: Some(file) })
     }
 
     /// The highest number of a duty that was seen.
@@ -117,15 +114,7 @@
         Ok(())
     }
 
-    /// Writes the whole file or none of it; the directory is synced too, or a loss of power could bring the old one back.
     fn keep(&self) -> io::Result<()> {
-        let Some(path) = &self.path else { return Ok(()) };
-        let early = path.with_extension("new");
-        let file = File::create(&early)?;
-        serde_json::to_writer(&file, &self.seen)?;
-        file.sync_all()?;
-        fs::rename(&early, path)?;
-        let directory = path.parent().filter(|parent| !parent.as_os_str().is_empty());
-        File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
+        self.file.as_ref().map_or(Ok(()), |file| file.store(&self.seen))
     }
 }
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -16,7 +16,7 @@
 use tokio::task::{JoinSet, LocalSet, spawn_blocking, spawn_local, yield_now};
 use tokio::time::{Instant, sleep};
 
-use super::asking::{Asked, ROUTES};
+use super::asking::{Asked, Feed, ROUTES};
 use super::board::Board;
 use super::fetch::{Answer, Failed, Line, pause};
 use super::follow::follow;
@@ -26,6 +26,7 @@
 use super::table::Fault;
 use super::{keep, publish};
 use crate::config::{PartnersTable, SiteTable};
+use crate::durable::{create_directory, is_transient};
 use crate::duty::hold::Held;
 use crate::duty::{DutyName, Guard, Voucher};
 use crate::fleet::view::View;
@@ -49,6 +50,8 @@
 const BETWEEN: Duration = Duration::from_millis(10);
 /// Time until a partner that was turned down is asked again.
 const REFUSED: Duration = Duration::from_millis(500);
+/// Time between two tries to read what was kept in a folder that fails.
+const OPEN_AGAIN: Duration = Duration::from_secs(1);
 /// The file of the numbers that were seen.
 const NUMBERS: &str = "numbers.json";
 
@@ -93,25 +96,40 @@
     Ok(())
 }
 
+/// What was kept: without it numbers could run backwards. While the folder fails the part does not begin.
+async fn open_kept(directory: &Path) -> io::Result<(Guard, Option<Feed>)> {
+    let mut said = false;
+    loop {
+        let opened = create_directory(directory).and_then(|()| {
+            let guard = Guard::open(&directory.join(NUMBERS))?;
+            Ok((guard, keep::read(directory, now().utc)?))
+        });
+        match opened {
+            Err(problem) if is_transient(&problem) => {
+                if !said {
+                    error!("partners: this node has no part in routes until its folder works: {problem}");
+                }
+                said = true;
+                sleep(OPEN_AGAIN).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 async fn run(options: Options) -> io::Result<()> {
     let Options { name, table, from, members, view, mut alone, given, in_force, shown } = options;
     if alone.wait_for(|alone| *alone).await.is_err() {
         return Ok(());
     }
-    std::fs::create_dir_all(&table.directory)?;
-    let guard = Guard::open(&table.directory.join(NUMBERS))?;
+    let (guard, feed) = open_kept(&table.directory).await?;
     let now = now();
     let mut board = Board::default();
-    match keep::read(&table.directory, now.utc) {
-        Ok(Some(feed)) => {
-            if let Err(not) = board.take(feed, now.own) {
-                warn!("partners: what was kept cannot be used: {not}");
-                board = Board::default();
-            }
-        }
-        Ok(None) => {}
-        // Without it numbers could run backwards.
-        Err(bad) => return Err(io::Error::other(bad)),
+    if let Some(feed) = feed
+        && let Err(not) = board.take(feed, now.own)
+    {
+        warn!("partners: what was kept cannot be used: {not}");
+        board = Board::default();
     }
     let terms = table.terms();
     board.tick(&terms, now.own);
@@ -339,6 +357,7 @@
 /// Keeps the table over a restart, beside the thread that serves.
 async fn keep_on(site: Rc<Site>) {
     let mut kept = Instant::now();
+    let mut failing = false;
     loop {
         sleep(KEEP_AFTER).await;
         if !site.changed.replace(false) && kept.elapsed() < KEEP_EVERY {
@@ -350,10 +369,16 @@
             (site.inside.borrow().board.tell(None, now.own), now)
         };
         let directory = site.table.directory.clone();
-        match spawn_blocking(move || keep::write(&directory, &telling.feed(), now.utc)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(problem)) => warn!("partners: the table is not kept: {problem}"),
-            Err(problem) => warn!("partners: the table is not kept: {problem}"),
+        let written = spawn_blocking(move || keep::write(&directory, &telling.feed(), now.utc)).await;
+        let written = written.unwrap_or_else(|problem| Err(io::Error::other(problem)));
+        match (&written, failing) {
+            (Ok(()), true) => info!("partners: the table is kept again"),
+            (Err(problem), false) => warn!("partners: the table is not kept until it can be: {problem}"),
+            _ => {}
+        }
+        failing = written.is_err();
+        if failing {
+            site.changed.set(true);
         }
     }
 }
--- a/src/verdict/kept.rs
+++ b/src/verdict/kept.rs
@@ -1,11 +1,12 @@
 //! The highest number of a list that this node has seen, kept over its restarts: no older list is applied after one.
 
-use std::fs::{self, File};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use thiserror::Error;
 
+use crate::durable::{LoadError, SmallFile};
+
 use super::list::{Guard, List, ListError, Number};
 
 /// Why a list is not applied.
@@ -23,7 +24,7 @@
 #[derive(Debug)]
 pub struct KeptGuard {
     guard: Guard,
-    path: Option<PathBuf>,
+    file: Option<SmallFile>,
 }
 
 impl KeptGuard {
@@ -31,13 +32,10 @@
     ///
     /// # Errors
     /// The file cannot be read, or is none of a guard.
-    pub fn open(path: Option<PathBuf>) -> io::Result<Self> {
-        let seen = match path.as_deref().map(fs::read) {
-            Some(Ok(text)) => serde_json::from_slice(&text)?,
-            Some(Err(problem)) if problem.kind() != io::ErrorKind::NotFound => return Err(problem),
-            _ => Number::default(),
-        };
-        Ok(Self { guard: Guard::after(seen), path })
+    pub fn open(path: Option<PathBuf>) -> Result<Self, LoadError> {
+        let file = path.map(SmallFile::new);
+        let seen = file.as_ref().map(SmallFile::load).transpose()?.flatten();
+        Ok(Self { guard: Guard::after(seen.unwrap_or_default()), file })
     }
 
     /// What it guards.
@@ -52,8 +50,8 @@
     pub fn accept(&mut self, now: f64, list: &List) -> Result<bool, KeepError> {
         let mut next = self.guard.clone();
         let new = next.accept(now, list)?;
-        if let Some(path) = self.path.as_deref().filter(|_| next.seen() != self.guard.seen()) {
-            keep(path, next.seen())?;
+        if let Some(file) = self.file.as_ref().filter(|_| next.seen() != self.guard.seen()) {
+            file.store(&next.seen())?;
         }
         self.guard = next;
         Ok(new)
@@ -64,17 +62,3 @@
         self.guard.confirmed(now, number)
     }
 }
-
-/// Writes the whole file or none of it.
-fn keep(path: &Path, seen: Number) -> io::Result<()> {
-    if let Some(directory) = path.parent() {
-        fs::create_dir_all(directory)?;
-    }
-    let early = path.with_extension("new");
-    let file = File::create(&early)?;
-    serde_json::to_writer(&file, &seen)?;
-    file.sync_all()?;
-    fs::rename(&early, path)?;
-    let directory = path.parent().filter(|parent| !parent.as_os_str().is_empty());
-    File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
-}
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -1,7 +1,7 @@
 //! A node's part in the votes: a thread of its own, on which it says what its calls have shown, hears who counts, applies
 //! lists, and counts itself while it has the duty. The serving core only notes its calls and follows the shares.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -40,6 +40,9 @@
 const ASKED: usize = 3;
 const ASKED_AGAIN: Duration = Duration::from_millis(100);
 
+/// Time between two tries to read the number of the last list in a folder that fails.
+const OPEN_AGAIN: Duration = Duration::from_secs(1);
+
 /// What a node notes of its calls, to be sent.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Noted {
@@ -147,12 +150,13 @@
 ) -> io::Result<()> {
     let listener = TcpListener::bind(options.listen).await?;
     info!("{} listens for votes on {}", options.name, listener.local_addr()?);
-    let guard = KeptGuard::open(options.file.clone())?;
+    let guard = open_guard(&options).await?;
     let seat = Rc::new(Seat {
         options,
         view,
         life: rand::rng().random(),
         guard: RefCell::new(guard),
+        unkept: Cell::new(false),
         claims: RefCell::default(),
         counting: RefCell::default(),
         own: RefCell::default(),
@@ -169,6 +173,24 @@
     Ok(())
 }
 
+/// The number that was kept. While the folder fails, no list may be applied and nothing is answered.
+async fn open_guard(options: &Options) -> io::Result<KeptGuard> {
+    let mut said = false;
+    loop {
+        match KeptGuard::open(options.file.clone()) {
+            Ok(guard) => return Ok(guard),
+            Err(problem) if problem.is_transient() => {
+                if !said {
+                    error!("{} has no part in the votes until its folder works: {problem}", options.name);
+                }
+                said = true;
+                sleep(OPEN_AGAIN).await;
+            }
+            Err(problem) => return Err(problem.into()),
+        }
+    }
+}
+
 /// Asks the store whether a node counts that says so, or that another one says it of. The member that is asked may lag
 /// behind the one that gave the duty, so what it does not know is asked again.
 async fn ask_store(seat: Rc<Seat>, teller: String, holder: Holder) {
@@ -199,6 +221,8 @@
     view: watch::Receiver<View>,
     pub(super) life: u64,
     guard: RefCell<KeptGuard>,
+    /// Whether the number of a list could not be kept the last time.
+    unkept: Cell<bool>,
     claims: RefCell<Claims>,
     /// While this node counts.
     pub(super) counting: RefCell<Option<Counting>>,
@@ -299,11 +323,16 @@
         let Number { fence, sequence } = list.number;
         match accepted {
             Ok(true) => {
+                self.unkept.set(false);
                 info!("verdicts: list {fence}.{sequence} is in force, with {} lines", list.entries.len());
             }
             Ok(false) => {}
             Err(KeepError::List(problem)) => warn!("verdicts: a list is turned down: {problem}"),
-            Err(problem) => error!("verdicts: list {fence}.{sequence} is not applied: {problem}"),
+            Err(problem) => {
+                if !self.unkept.replace(true) {
+                    error!("verdicts: list {fence}.{sequence} and later ones are not applied: {problem}");
+                }
+            }
         }
     }
 
