--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod config;
 pub mod copies;
+pub mod durable;
 pub mod duty;
 pub mod exchange;
 pub mod fleet;
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -44,6 +44,8 @@
     ListUnproved,
     /// The windows of keys are compared with the wall clock.
     WindowOnWallTime,
+    /// After a failed sync, a second one of the same data counts as proof.
+    SecondSyncBelieved,
 }
 
 thread_local! {
--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -293,7 +293,12 @@
         let machine = StateMachine::new(disk.clone(), self.shown.clone())?;
         let raft = Raft::new(own, config, network, disk.clone(), machine).await;
         let raft = raft.map_err(|e| StoreError::raft(&e))?;
-        if !raft.is_initialized().await.map_err(|e| StoreError::raft(&e))?
+        let is_initialized = raft.is_initialized().await.map_err(|e| StoreError::raft(&e))?;
+        if is_initialized && self.is_alone() {
+            // Nobody else could stand for election, or be disturbed by one.
+            raft.trigger().elect().await.map_err(|e| StoreError::raft(&e))?;
+        }
+        if !is_initialized
             && let Some(founders) = disk.founders::<BTreeMap<u64, Place>>()?
             && let Err(problem) = raft.initialize(founders).await
         {
@@ -326,7 +331,13 @@
             if let Err(problem) = &metrics.borrow_and_update().running_state {
                 return Ok(End::Reopen(problem.to_string()));
             }
-            let _ = tokio::time::timeout(MARK, stopped(&mut metrics)).await;
+            tokio::select! {
+                () = stopped(&mut metrics) => {}
+                () = self.door.disk.failed() => {
+                    return Ok(End::Reopen("something could not be written".to_owned()));
+                }
+                () = sleep(MARK) => {}
+            }
             let now = member.trouble();
             if now != said && now == trouble {
                 match &now {
