--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -272,7 +272,7 @@
         let held = self.held.as_ref().map(|held| held.try_clone().expect("a handle"));
         let mut config = self.config.clone();
         config["wall_offset_ms"] = json!(offset_ms);
-        Self::spawn(config, self.dir.clone(), held)
+        Self::spawn(config, self.dir.clone(), held, Start::default())
     }
 
     /// Puts the wall clock of this process off by this, where its configuration has a `wall_offset_ms`.
