Start no store, and no thread for it, where nobody could reach or keep it

The logs of the three nodes end behind 'a store is formed of 1 members' or before it, with 'held: sillflow S 202 ... store S 202 ...': two threads, both at a futex.

Cause, as far as it goes: settle_in started a member of the store, with its thread, its runtime and a database, for every node, also where the operator's file names neither an address nor a directory. Such a store can be read by nobody and is gone with the process. Why the two threads stood there was not shown; one of them is needless.

Change: StoreOptions::is_set_up; without a store there is one thread. Tests that waited for the store's log lines set one up now (tests/node.rs, tests/handover.rs).

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -137,6 +137,11 @@
 }
 
 impl StoreOptions {
+    /// Whether there is a store at all: one that nobody reaches and that is not kept has nothing to hold.
+    pub fn is_set_up(&self) -> bool {
+        self.listen.is_some() || self.directory.is_some()
+    }
+
     /// A member that forgot its vote could vote twice, so those with peers need a directory.
     fn check(&self, faults: &mut Vec<Fault>) {
         if let Some(ms) = self.replace_after_ms.filter(|ms| *ms < SOONEST_REPLACED) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -404,6 +404,9 @@
         error!("questions about servers cannot be answered: {problem}");
     }
     let Config { name, operator, .. } = config;
+    if !operator.store.is_set_up() {
+        return;
+    }
     match store::start(&name, operator.store, published) {
         Ok(contents) => {
             follow_operator(format!("state/{name}/maintenance"), contents, shared.exchange.clone()).await;
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -18,6 +18,7 @@
 fn held_with(change: impl Fn(&mut Value)) -> (Node, FrontEnd) {
     let mut config = config(settings());
     config["stop_ms"] = json!(60_000);
+    config["operator"] = json!("[store]\nlisten = \"127.0.0.1:0\"\n");
     for class in [1, 2] {
         config["settings"]["classes"][class]["hard-limit"] = json!(30_000.0);
         config["settings"]["classes"][class]["aim"] = json!(20_000.0);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -102,7 +102,10 @@
 
 #[rstest]
 fn a_new_configuration_moves_every_link_and_keeps_runs_numbers_and_keys() {
-    let (mut node, mut front) = started();
+    let mut node = Node::launch_with(settings(), "[store]\nlisten = \"127.0.0.1:0\"\n");
+    node.processor.greet("warm");
+    node.reported("Ready");
+    let mut front = FrontEnd::connect(&node.resp);
     node.logged("the configuration is kept at version 1");
     let done = run(&mut node, &mut front, 1, "pay-session", ",opkey=a");
     node.processor.complete(&done, b"one");
@@ -564,3 +567,12 @@
     node.processor.complete(&try_id(1), b"slowly");
     assert_eq!(slow.answer().body, b"slowly");
 }
+
+#[rstest]
+fn a_node_without_a_store_of_its_own_has_one_thread() {
+    let (mut node, mut front) = started();
+    let req = run(&mut node, &mut front, 1, "plate-check", "");
+    node.processor.complete(&req, b"result");
+    assert_eq!(front.answer().body, b"result");
+    assert_eq!(node.threads(), ["sillflow"]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -129,12 +129,14 @@
         Self::launch_held_as(config(settings))
     }
 
-    /// The same with a whole configuration.
+    /// The same with a whole configuration, and the operator's file as its `operator`.
     pub fn launch_held_as(mut config: Value) -> Self {
+        let operator = config.as_object_mut().and_then(|config| config.remove("operator"));
+        let operator = operator.as_ref().and_then(Value::as_str).unwrap_or_default();
         let name = format!("sillflow-{}-{}", std::process::id(), DIRS.fetch_add(1, SeqCst));
         let dir = Dir(std::env::temp_dir().join(name));
         std::fs::create_dir_all(&dir.0).expect("a folder");
-        std::fs::write(dir.0.join("operator.toml"), "").expect("a file");
+        std::fs::write(dir.0.join("operator.toml"), operator).expect("a file");
         let held = TcpListener::bind("127.0.0.1:0").expect("a port");
         config["listen"] = held.local_addr().expect("an address").to_string().into();
         Self::spawn(config, Arc::new(dir), Some(held))
@@ -308,6 +310,13 @@
         held.map_or(0, |held| held.count())
     }
 
+    /// The names of its threads.
+    pub fn threads(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a running process");
+        let name = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm")).ok();
+        tasks.flatten().filter_map(name).map(|name| name.trim_end().to_owned()).collect()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_some()
     }
