Let a guard make no directory, and copies say each sync that has failed

Two tests found it: a_guard_turns_down_lower_numbers_over_restarts (a number was kept in a directory that nobody had set up) and a_holder_to_come_is_complete_once_what_it_fetched_is_synced (it counts the lines of failed syncs, which were one a spell).

--- a/src/duty/fence.rs
+++ b/src/duty/fence.rs
@@ -115,6 +115,8 @@
     }
 
     fn keep(&self) -> io::Result<()> {
-        self.file.as_ref().map_or(Ok(()), |file| file.store(&self.seen))
+        let Some(file) = &self.file else { return Ok(()) };
+        // Where its directory is not, it is not made: nobody has set it up.
+        file.store_bytes(&serde_json::to_vec(&self.seen)?)
     }
 }
--- a/src/fleet/copying.rs
+++ b/src/fleet/copying.rs
@@ -471,9 +471,7 @@
                     });
                 }
                 Err(problem) => {
-                    if keeper.trouble.is_none() {
-                        warn!("claims cannot be kept, and are not given until they can: {problem}");
-                    }
+                    warn!("claims cannot be kept, and are not given until they can: {problem}");
                     keeper.trouble = Some(problem);
                     keeper.keeping.failed();
                     let inside = self.inside.clone();
