--- a/src/back/control.rs
+++ b/src/back/control.rs
@@ -3,27 +3,27 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use log::{error, info, warn};
+use log::{error, info};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::config::Peers;
 use crate::exchange::Handle;
+use crate::net::spell::Spell;
+use crate::net::{bind, datagram};
 
 /// Time between reports: an entry lapses after three seconds, so eleven in a row may be lost.
 const PERIOD: Duration = Duration::from_millis(250);
 
-/// Wait before a further attempt to have a socket.
-const RETRY: Duration = Duration::from_secs(1);
-
+/// Has a socket for reports, however long that takes: a node without one is not listed.
 async fn socket(own: SocketAddr) -> UdpSocket {
     loop {
-        match UdpSocket::bind(SocketAddr::new(own.ip(), 0)).await {
+        match bind::udp("reports", SocketAddr::new(own.ip(), 0)).await {
             Ok(socket) => return socket,
             Err(problem) => error!("no socket for reports can be had: {problem}"),
         }
-        sleep(RETRY).await;
+        sleep(PERIOD).await;
     }
 }
 
@@ -34,6 +34,7 @@
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut said = None;
+    let mut sending = Spell::new("reports cannot be sent");
     loop {
         let healthy = posture.borrow_and_update().healthy;
         // Before the processor is up there is nothing to report: it would list a node that cannot serve.
@@ -43,8 +44,11 @@
                 info!("reporting {state}");
             }
             let control = peers.borrow().control;
-            if let Err(problem) = socket.send_to(format!("lease {name} {state}").as_bytes(), control).await {
-                warn!("a report cannot be sent: {problem}");
+            let report = format!("lease {name} {state}");
+            match datagram::send(&socket, report.as_bytes(), control).await {
+                Ok(()) => sending.succeeded(),
+                // The next turn sends the next one.
+                Err(problem) => sending.failed(&problem),
             }
         }
         while Some(posture.borrow().healthy) == said.or(Some(false)) {
--- a/src/back/processor.rs
+++ b/src/back/processor.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout};
 use winnow::combinator::terminated;
@@ -23,6 +22,9 @@
 use crate::config::Peers;
 use crate::exchange::{Command, Handle, Input, Oddity, TryId};
 use crate::interface::Outcome;
+use crate::net::connect::{Stream, connect};
+use crate::net::errors::Failure;
+use crate::net::stream::Uninterrupted;
 
 /// The longest line that is read.
 const LINE_BYTES: usize = 64 * 1024;
@@ -192,9 +194,10 @@
                 biased;
                 // An address that takes no connection is not waited for once it is not in force any more.
                 () = moved(&mut self.peers, address) => continue,
-                connected = timeout(CONNECT, TcpStream::connect(address)) => connected,
+                connected = timeout(CONNECT, connect(address, None)) => connected,
             };
-            match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            let late = |_| Err(Failure::Connect(io::ErrorKind::TimedOut.into()));
+            match connected.unwrap_or_else(late) {
                 Ok(stream) => {
                     let (since, seq) = (Instant::now(), self.seq);
                     let broken = self.use_link(stream).await;
@@ -217,7 +220,7 @@
         log!(level, "the link to the processor broke after notice {}: {broken}", self.seq);
     }
 
-    async fn use_link(&mut self, stream: TcpStream) -> Broken {
+    async fn use_link(&mut self, stream: Stream) -> Broken {
         match self.work(stream).await {
             Ok(()) => Broken::Closed,
             Err(broken) => broken,
@@ -241,10 +244,10 @@
 
     /// Works until the link is of no further use. It is read while commands wait to be written: guards against
     /// both sides waiting for each other to read.
-    async fn work(&mut self, stream: TcpStream) -> Result<(), Broken> {
-        stream.set_nodelay(true)?;
-        let address = stream.peer_addr()?;
-        let (mut from, mut to) = stream.into_split();
+    async fn work(&mut self, stream: Stream) -> Result<(), Broken> {
+        let address = stream.get_ref().peer_addr()?;
+        let (from, to) = stream.into_inner().into_split();
+        let (mut from, mut to) = (Uninterrupted::new(from), Uninterrupted::new(to));
         self.greet();
         let mut buffer = BytesMut::new();
         let mut batch = Vec::new();
--- a/src/back/records/http.rs
+++ b/src/back/records/http.rs
@@ -5,7 +5,6 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use winnow::ascii::{crlf, dec_uint, space0};
 use winnow::combinator::{alt, eof, preceded, repeat, separated_pair, terminated};
 use winnow::error::{ContextError, ErrMode};
@@ -13,6 +12,7 @@
 use winnow::{ModalResult, Parser, Partial};
 
 use crate::knowledge::Run;
+use crate::net::connect::Stream;
 
 /// Bytes of all heads of a reply, and of its body, that are read at the most.
 const HEAD_BYTES: usize = 16 * 1024;
@@ -142,7 +142,7 @@
 }
 
 /// Sends a request and reads the one reply to it. Replies of status 1xx ahead of it are skipped.
-pub(super) async fn exchange(stream: &mut TcpStream, request: &[u8]) -> Result<Reply, Bad> {
+pub(super) async fn exchange(stream: &mut Stream, request: &[u8]) -> Result<Reply, Bad> {
     stream.write_all(request).await?;
     let mut buffer = BytesMut::new();
     let mut heads = 0;
@@ -174,7 +174,7 @@
     Ok(Reply { status: head.status, not_begun: head.not_begun, reusable, body, run })
 }
 
-async fn read_body(stream: &mut TcpStream, buffer: &mut BytesMut, length: &Length) -> Result<Bytes, Bad> {
+async fn read_body(stream: &mut Stream, buffer: &mut BytesMut, length: &Length) -> Result<Bytes, Bad> {
     let mut body = BytesMut::new();
     loop {
         match length {
@@ -212,7 +212,7 @@
     }
 }
 
-async fn more(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<(), Bad> {
+async fn more(stream: &mut Stream, buffer: &mut BytesMut) -> Result<(), Bad> {
     buffer.reserve(READ_BYTES);
     if stream.read_buf(buffer).await? == 0 { Err(Bad::Closed) } else { Ok(()) }
 }
--- a/src/back/records/mod.rs
+++ b/src/back/records/mod.rs
@@ -15,9 +15,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use log::{debug, warn};
-use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use log::debug;
+use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -28,6 +27,10 @@
 use crate::exchange::{Call, Handle, Input};
 use crate::interface::Outcome;
 use crate::knowledge::Run;
+use crate::net::connect::{Stream, connect};
+use crate::net::errors::{Cause, Failure};
+use crate::net::spell::Spell;
+use crate::net::stream::uninterrupted;
 use crate::partners::course::{Next, Tried};
 use crate::peers::{Leg, Routes};
 use crate::route::{Kind, RetryBudget, ServerId};
@@ -44,6 +47,9 @@
 const KEPT_SHARE: usize = 2;
 /// A server that takes no connection in this time is given up for another one.
 const CONNECT: Duration = Duration::from_millis(500);
+/// Pauses between two tries to connect while this machine lacks descriptors, buffers or ports grow from the first to the
+/// second of these.
+const SHORTAGE_PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(100));
 /// A call goes to another server only while it has this much time left.
 const WORTH_TRYING: Duration = Duration::from_millis(20);
 /// The part of its time for which a call that is safe to repeat waits for one site while there may be another.
@@ -77,6 +83,15 @@
     }
 }
 
+/// What a connection that was not made tells of the server. What this machine lacks is no fault of the server's.
+fn unconnected(cause: Cause) -> Kind {
+    match cause {
+        Cause::Refused => Kind::Refused,
+        cause if cause.tells_of_peer() => Kind::Unreachable,
+        _ => Kind::Unsent,
+    }
+}
+
 /// How an attempt at a call ended.
 struct Attempt {
     outcome: Outcome,
@@ -183,6 +198,8 @@
     waiting: Rc<Cell<usize>>,
     usual: Rc<RefCell<Usual>>,
     repeats: Rc<RefCell<RetryBudget>>,
+    /// Connections that this machine had no means for.
+    shortage: Rc<RefCell<Spell>>,
 }
 
 impl Records {
@@ -207,6 +224,7 @@
             waiting: Rc::default(),
             usual: Rc::default(),
             repeats: Rc::new(RefCell::new(RetryBudget::new(REPEATS))),
+            shortage: Rc::new(RefCell::new(Spell::new("connections for calls cannot be made"))),
         }
     }
 
@@ -296,7 +314,7 @@
     async fn connection(self, address: SocketAddr, mut call: Timed) {
         let to_server = call.leg.is_some();
         let connected = tokio::select! {
-            connected = timeout_at(call.due(), self.connect(address, to_server)) => connected,
+            connected = timeout_at(call.due(), self.connect(address, to_server, call.due())) => connected,
             _ = &mut call.call.given_up => return,
         };
         // Nothing was sent, so nothing can have begun.
@@ -307,8 +325,7 @@
                 attempt.kind = match failed {
                     Ok(Err(problem)) => {
                         debug!("the tier below cannot be reached: {problem}");
-                        let refused = problem.kind() == io::ErrorKind::ConnectionRefused;
-                        if refused { Kind::Refused } else { Kind::Unreachable }
+                        unconnected(problem.cause())
                     }
                     _ => Kind::Unsent,
                 };
@@ -335,19 +352,18 @@
         &self,
         address: SocketAddr,
         to_server: bool,
-    ) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
-        let room = self.place_for_one().await?;
+        due: Instant,
+    ) -> Result<(Stream, OwnedSemaphorePermit), Failure> {
+        let closed = |closed| Failure::Connect(io::Error::other(closed));
+        let room = self.place_for_one().await.map_err(closed)?;
         // The wait for room above is no fault of the server's.
-        let connected = TcpStream::connect(address);
-        let stream = if to_server { timeout(CONNECT, connected).await?? } else { connected.await? };
-        if let Err(problem) = stream.set_nodelay(true) {
-            warn!("a connection cannot be set up: {problem}");
-        }
+        let within = if to_server { CONNECT } else { due.saturating_duration_since(Instant::now()) };
+        let stream = self.connect_despite_shortage(address, due - WORTH_TRYING, within).await?;
         Ok((stream, room))
     }
 
     /// A place for a further connection. Where there is none, the one that has been idle for longest ends.
-    async fn place_for_one(&self) -> io::Result<OwnedSemaphorePermit> {
+    async fn place_for_one(&self) -> Result<OwnedSemaphorePermit, AcquireError> {
         if let Ok(place) = self.room.clone().try_acquire_owned() {
             return Ok(place);
         }
@@ -359,7 +375,34 @@
                 idle.remove(0);
             }
         }
-        self.room.clone().acquire_owned().await.map_err(io::Error::other)
+        self.room.clone().acquire_owned().await
+    }
+
+    /// Connects, again behind a pause while this machine lacks what that takes: no other server would help.
+    async fn connect_despite_shortage(
+        &self,
+        address: SocketAddr,
+        until: Instant,
+        within: Duration,
+    ) -> Result<Stream, Failure> {
+        let mut pause = SHORTAGE_PAUSE.0;
+        loop {
+            let late = |_| Err(Failure::Connect(io::ErrorKind::TimedOut.into()));
+            match timeout(within, connect(address, None)).await.unwrap_or_else(late) {
+                Err(problem) if !problem.cause().tells_of_peer() => {
+                    self.shortage.borrow_mut().failed(&problem);
+                    if Instant::now() + pause >= until {
+                        return Err(problem);
+                    }
+                }
+                done => {
+                    self.shortage.borrow_mut().succeeded();
+                    return done;
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(SHORTAGE_PAUSE.1);
+        }
     }
 
     /// Gives a call that never ran to a new connection: others that are idle may be forgotten as well.
@@ -376,13 +419,13 @@
 
     /// Waits for the next call on a connection. None where it is of no use any more: one to the platform's address
     /// is not once that is another.
-    async fn rest(&self, stream: &TcpStream, address: SocketAddr, to_platform: bool) -> Option<Timed> {
+    async fn rest(&self, stream: &Stream, address: SocketAddr, to_platform: bool) -> Option<Timed> {
         let mut peers = self.peers.clone();
         let (hand_over, handed) = oneshot::channel();
         self.idle.borrow_mut().push(Idle { address, since: Instant::now(), hand_over });
         tokio::select! {
             biased;
-            handed = handed => match (handed, stream.try_read(&mut [0])) {
+            handed = handed => match (handed, uninterrupted(|| stream.get_ref().try_read(&mut [0]))) {
                 (Ok(next), Err(problem)) if problem.kind() == io::ErrorKind::WouldBlock => Some(next),
                 // It has ended meanwhile: nothing was sent on it, so the call may go elsewhere.
                 (Ok(next), _) => {
@@ -392,14 +435,14 @@
                 (Err(_), _) => None,
             },
             // Anything that can be read between calls, an end most of all, makes it of no use.
-            _ = stream.readable() => None,
+            _ = stream.get_ref().readable() => None,
             _ = peers.wait_for(|peers| peers.records != Some(address)), if to_platform => None,
             () = sleep(IDLE) => None,
         }
     }
 
     /// One call. To close the connection gives it up. False where it is of no further use.
-    async fn make(&self, stream: &mut TcpStream, address: SocketAddr, mut call: Timed) -> bool {
+    async fn make(&self, stream: &mut Stream, address: SocketAddr, mut call: Timed) -> bool {
         let request = call.encode(address);
         if let Some(leg) = &mut call.leg {
             leg.sent();
--- a/src/duty/beat.rs
+++ b/src/duty/beat.rs
@@ -9,7 +9,6 @@
 use log::{debug, warn};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -17,6 +16,7 @@
 use super::hold::{Held, Registry};
 use super::{DutyName, Fence, Lost};
 use crate::config::BeatTable;
+use crate::net::connect::{Stream, connect};
 
 /// Bytes of a line at the most.
 const MOST_LINE: u64 = 1024;
@@ -146,10 +146,10 @@
         }
     }
 
-    async fn say(&self, line: &mut Option<BufReader<TcpStream>>, beat: &Beat) -> io::Result<Reply> {
+    async fn say(&self, line: &mut Option<BufReader<Stream>>, beat: &Beat) -> io::Result<Reply> {
         let stream = match line {
             Some(stream) => stream,
-            None => line.insert(BufReader::new(timeout(CONNECT, self.connect()).await??)),
+            None => line.insert(BufReader::new(timeout(CONNECT, connect(self.to, Some(self.from))).await??)),
         };
         let mut text = serde_json::to_vec(beat)?;
         text.push(b'\n');
@@ -161,16 +161,6 @@
         }
         Ok(serde_json::from_slice(&answer)?)
     }
-
-    async fn connect(&self) -> io::Result<TcpStream> {
-        let socket = if self.to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if self.from.is_ipv4() == self.to.is_ipv4() {
-            socket.bind(SocketAddr::new(self.from, 0))?;
-        }
-        let stream = socket.connect(self.to).await?;
-        stream.set_nodelay(true)?;
-        Ok(stream)
-    }
 }
 
 fn read_state(state: &[u8]) -> u64 {
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::{JoinSet, LocalSet, spawn_blocking, spawn_local};
+use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::config::FleetTable;
@@ -28,6 +28,11 @@
 use crate::duty::hold::Ends;
 use crate::duty::table::Grants;
 use crate::frame::{receive_within, send};
+use crate::net::accept::{self, Acceptor};
+use crate::net::bind::{self, BIND_WITHIN, BindError};
+use crate::net::connect::Stream;
+use crate::net::datagram;
+use crate::net::spell::Spell;
 use crate::verdict;
 
 use super::copying::{Copying, Datagram, Part, Target, Woken};
@@ -50,6 +55,8 @@
 /// How long a process may take to end once it has handed all over, and how often the next one looks whether it has.
 const ENDS_WITHIN: Duration = Duration::from_secs(10);
 const ENDS_LOOK: Duration = Duration::from_millis(20);
+/// Wait after a datagram that could not be received, so that failures in a row starve nothing else.
+const HEARS_AGAIN: Duration = Duration::from_millis(5);
 /// How long a node is heard after the view has it no more: longer than a process has to end.
 const HEARD_AFTER: Duration = Duration::from_secs(120);
 /// Time between two questions for the view by a node that leaves.
@@ -73,6 +80,9 @@
     /// A socket cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The node's address cannot be listened on.
+    #[error("{0}")]
+    Bind(#[from] BindError),
     /// What it kept cannot be read.
     #[error(transparent)]
     Load(#[from] LoadError),
@@ -93,7 +103,7 @@
     /// Whether the folder may work again without anyone looking at it.
     fn is_transient(&self) -> bool {
         match self {
-            Self::Io(_) => false,
+            Self::Io(_) | Self::Bind(_) => false,
             Self::Load(problem) => problem.is_transient(),
             Self::Store { cause, .. } => is_transient(cause),
             Self::Copies(problem) => problem.is_transient(),
@@ -209,12 +219,13 @@
         said: began,
         bytes_sent: 0,
         asked_peers: None,
+        sending: Spell::new("datagrams of the fleet cannot be sent"),
     };
     let guest = !*alone.borrow_and_update();
     let mut inputs = Inputs { hears, questions, joined, alone };
     if guest {
         // Another process of this node has its address and its place still.
-        let socket = UdpSocket::bind(SocketAddr::new(daemon.table.listen.ip(), 0)).await?;
+        let socket = bind::udp("the fleet", SocketAddr::new(daemon.table.listen.ip(), 0)).await?;
         daemon.run(&socket, &mut inputs, true).await;
     }
     let (socket, door) = take_place(daemon.table.listen, guest).await?;
@@ -230,29 +241,23 @@
 
 /// The node's address, for datagrams and connections. Behind another process of the node it may be taken for as long as
 /// that one needs to end.
-async fn take_place(listen: SocketAddr, follows: bool) -> io::Result<(UdpSocket, TcpListener)> {
-    let last = Instant::now() + if follows { ENDS_WITHIN } else { Duration::ZERO };
-    let mut waited = false;
-    loop {
-        let taken = async {
+async fn take_place(listen: SocketAddr, follows: bool) -> Result<(UdpSocket, TcpListener), BindError> {
+    let within = if follows { ENDS_WITHIN } else { BIND_WITHIN };
+    let mut tries = 0;
+    let attempt = || {
+        tries += 1;
+        async move {
             let socket = UdpSocket::bind(listen).await?;
             let door = TcpListener::bind(socket.local_addr()?).await?;
-            Ok::<_, io::Error>((socket, door))
-        };
-        match taken.await {
-            Err(problem) if problem.kind() == io::ErrorKind::AddrInUse && Instant::now() < last => {
-                waited = true;
-                sleep(ENDS_LOOK).await;
-            }
-            taken => {
-                // Its files go after its sockets.
-                if waited {
-                    sleep(ENDS_LOOK).await;
-                }
-                return taken;
-            }
+            Ok((socket, door))
         }
+    };
+    let taken = bind::patiently("the fleet", listen, within, attempt).await?;
+    // The files of the process before go after its sockets.
+    if tries > 1 {
+        sleep(ENDS_LOOK).await;
     }
+    Ok(taken)
 }
 
 /// What wakes the daemon beside datagrams and times.
@@ -332,6 +337,12 @@
     }
 }
 
+/// The next datagram from this time on.
+async fn hear(socket: &UdpSocket, buffer: &mut [u8], from: Instant) -> io::Result<(usize, SocketAddr)> {
+    sleep_until(from).await;
+    datagram::receive(socket, buffer).await
+}
+
 /// What is asked of the node on a connection, and where the answer goes.
 enum Asked {
     /// What it sees of the fleet.
@@ -343,24 +354,15 @@
 }
 
 async fn open_door(door: TcpListener, asked: mpsc::Sender<Asked>, store: Rc<Store>) {
-    let mut open = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = door.accept(), if open.len() < CONNECTIONS => match accepted {
-                Ok((stream, _)) => {
-                    open.spawn_local(timeout(DONE_WITHIN, answer(stream, asked.clone(), store.clone())));
-                }
-                Err(problem) => {
-                    debug!("no connection can be accepted: {problem}");
-                    sleep(Duration::from_millis(20)).await;
-                }
-            },
-            Some(_) = open.join_next() => {}
-        }
-    }
+    let acceptor = Acceptor::new("the fleet", door);
+    accept::serve(acceptor, CONNECTIONS, move |open, (stream, _): (TcpStream, SocketAddr)| {
+        let answered = answer(Stream::new(stream), asked.clone(), store.clone());
+        open.spawn_local(timeout(DONE_WITHIN, answered));
+    })
+    .await;
 }
 
-async fn answer(mut stream: TcpStream, asked: mpsc::Sender<Asked>, store: Rc<Store>) -> io::Result<()> {
+async fn answer(mut stream: Stream, asked: mpsc::Sender<Asked>, store: Rc<Store>) -> io::Result<()> {
     let Some(question) = receive_within::<Question>(&mut stream, QUESTION_BYTES).await? else {
         return Ok(());
     };
@@ -451,6 +453,7 @@
     said: Instant,
     bytes_sent: u64,
     asked_peers: Option<Instant>,
+    sending: Spell,
     copying: Option<Copying>,
     duties: Option<Ends>,
     partners: Option<watch::Receiver<crate::partners::live::Report>>,
@@ -530,6 +533,8 @@
     /// Runs until this process is the node's only one where it is a guest, else for good.
     async fn run(&mut self, socket: &UdpSocket, inputs: &mut Inputs, guest: bool) {
         let mut datagram = vec![0; DATAGRAM_BYTES + 1];
+        let mut hearing = Spell::new("datagrams of the fleet cannot be received");
+        let mut hears_from = self.began;
         loop {
             let now = self.now();
             let copies = self.copying.as_ref().map_or(u64::MAX, |copying| copying.wake_at());
@@ -546,10 +551,15 @@
             tokio::select! {
                 // What waits to be read is heard before anyone is found silent.
                 biased;
-                received = socket.recv_from(&mut datagram) => match received {
-                    Ok((length, from)) => self.receive(socket, &datagram[..length], from).await,
-                    // An address that nobody listens at answers so.
-                    Err(problem) => debug!("a datagram cannot be read: {problem}"),
+                received = hear(socket, &mut datagram, hears_from) => match received {
+                    Ok((length, from)) => {
+                        hearing.succeeded();
+                        self.receive(socket, &datagram[..length], from).await;
+                    }
+                    Err(problem) => {
+                        hearing.failed(&problem);
+                        hears_from = Instant::now() + HEARS_AGAIN;
+                    }
                 },
                 Some(Heard { lacking, age_ms }) = inputs.hears.recv() => {
                     let out = self.turn_to(lacking);
@@ -652,8 +662,10 @@
 
     async fn send_bytes(&mut self, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
         self.bytes_sent += bytes.len() as u64;
-        if let Err(problem) = socket.send_to(bytes, to).await {
-            debug!("a datagram to {to} is not sent: {problem}");
+        match datagram::send(socket, bytes, to).await {
+            Ok(()) => self.sending.succeeded(),
+            // What it says is said again by the next one.
+            Err(problem) => self.sending.failed(&problem),
         }
     }
 
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
 use crate::frame::{receive_within, send};
+use crate::net::connect::connect;
 
 use crate::copies;
 use crate::duty::table::Grants;
@@ -247,11 +247,7 @@
 /// It cannot be reached, or does not answer in time.
 pub async fn ask_from(at: SocketAddr, from: Option<IpAddr>, question: &Question) -> Result<Told, AskError> {
     let asked = async {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if let Some(from) = from.filter(|from| from.is_ipv4() == at.is_ipv4()) {
-            socket.bind(SocketAddr::new(from, 0))?;
-        }
-        let mut stream = socket.connect(at).await?;
+        let mut stream = connect(at, from).await.map_err(std::io::Error::from)?;
         send(&mut stream, question).await?;
         receive_within(&mut stream, REPORT_BYTES).await?.ok_or(AskError::Silent)
     };
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -18,6 +18,7 @@
 use super::Shared;
 use super::table::{Room, Seat};
 use crate::exchange::{Handle, Input};
+use crate::net::stream::Uninterrupted;
 
 /// Operators are few: when all places are taken, the one that has been silent for longest leaves.
 pub fn room(most: usize) -> Room {
@@ -103,12 +104,12 @@
 
 /// Serves one connection: one call, one answer.
 pub async fn connection(stream: TcpStream, shared: Rc<Shared>, seat: Seat) {
-    if let Err(bad) = serve(stream, &shared.exchange, seat).await {
+    if let Err(bad) = serve(Uninterrupted::new(stream), &shared.exchange, seat).await {
         debug!("an operator's connection is closed: {bad}");
     }
 }
 
-async fn serve(mut stream: TcpStream, exchange: &Handle, seat: Seat) -> Result<(), Bad> {
+async fn serve(mut stream: Uninterrupted<TcpStream>, exchange: &Handle, seat: Seat) -> Result<(), Bad> {
     let called = tokio::select! {
         read = timeout(SPEAKS_WITHIN, read(&mut stream)) => read.map_err(|_| Bad::Silent)??,
         () = seat.lost() => return Err(Bad::Silent),
@@ -129,7 +130,7 @@
     Ok(())
 }
 
-async fn read(stream: &mut TcpStream) -> Result<Result<Call, Refusal>, Bad> {
+async fn read(stream: &mut Uninterrupted<TcpStream>) -> Result<Result<Call, Refusal>, Bad> {
     let mut buffer = BytesMut::new();
     loop {
         match head(&mut Partial::new(&buffer[..])) {
@@ -146,7 +147,7 @@
     }
 }
 
-async fn discard(stream: &mut TcpStream) -> std::io::Result<u64> {
+async fn discard(stream: &mut Uninterrupted<TcpStream>) -> std::io::Result<u64> {
     tokio::io::copy(&mut stream.take(BODY_BYTES as u64), &mut tokio::io::sink()).await
 }
 
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -24,6 +24,7 @@
 use crate::config::Ajp;
 use crate::exchange::{Answer, Ask, Input, Oddity, Reply, ReplyTo};
 use crate::interface::RequestId;
+use crate::net::stream::Uninterrupted;
 
 /// Bytes of one packet from the web server, without its head, and of one chunk of a body in it.
 const PACKET_BYTES: usize = 8188;
@@ -272,7 +273,7 @@
 }
 
 struct Link {
-    stream: TcpStream,
+    stream: Uninterrupted<TcpStream>,
     seat: Seat,
     buffer: BytesMut,
 }
@@ -291,8 +292,8 @@
             self.buffer = BytesMut::new();
             tokio::select! {
                 biased;
-                ready = self.stream.readable() => ready?,
-                () = self.seat.lost() => if !has_unread(&self.stream) {
+                ready = self.stream.get_ref().readable() => ready?,
+                () = self.seat.lost() => if !has_unread(self.stream.get_ref()) {
                     return Err(Bad::Closed);
                 },
             }
@@ -377,7 +378,7 @@
 
 /// Serves one connection to its end.
 pub async fn connection(stream: TcpStream, front: Rc<Front>, seat: Seat) {
-    let link = Link { stream, seat, buffer: BytesMut::new() };
+    let link = Link { stream: Uninterrupted::new(stream), seat, buffer: BytesMut::new() };
     if let Err(bad) = serve(link, &front).await {
         debug!("a web server's connection is closed: {bad}");
         if let Some(oddity) = bad.oddity() {
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -25,6 +25,7 @@
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
 use crate::exchange::{Answer, Ask, Input, Oddity, Posture, Reply, ReplyTo};
 use crate::interface::RequestId;
+use crate::net::stream::{Uninterrupted, uninterrupted};
 
 /// Requests open on one connection; further ones are failed at once. Twice what the protocol allows, so that a
 /// caller that keeps to it is never failed while an answer is on its way.
@@ -60,6 +61,7 @@
     let (others, other) = mpsc::unbounded_channel();
     let (open, seat) = (Open::default(), Rc::new(seat));
     let posture = shared.exchange.posture();
+    let to = Uninterrupted::new(to);
     let writer = Writer { to, answered, other, open: open.clone(), seat: seat.clone(), posture };
     let mut reader = Reader {
         from,
@@ -191,7 +193,7 @@
     /// Reads what is there. False at the end.
     fn fill(&mut self) -> io::Result<bool> {
         self.buffer.reserve(READ_BYTES);
-        match self.from.try_read_buf(&mut self.buffer) {
+        match uninterrupted(|| self.from.try_read_buf(&mut self.buffer)) {
             Ok(read) => Ok(read > 0),
             Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => Ok(true),
             Err(problem) => Err(problem),
@@ -278,7 +280,7 @@
 }
 
 struct Writer {
-    to: OwnedWriteHalf,
+    to: Uninterrupted<OwnedWriteHalf>,
     answered: mpsc::UnboundedReceiver<Reply>,
     other: mpsc::UnboundedReceiver<Outgoing>,
     open: Open,
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -14,13 +14,15 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::sleep;
 
 use crate::duty::MOST_DUTIES;
 use crate::duty::pass::{Carried, Passed};
 use crate::exchange::{Handed, HandedKey, Handle, Input, Room, Turn};
 use crate::frame::{receive, send};
+use crate::net::accept::{self, Acceptor};
+use crate::net::stream::Uninterrupted;
 
 /// Processes that may wait for their turn at once. A platform starts one at a time.
 const MOST_WAITING: usize = 8;
@@ -115,12 +117,13 @@
 /// Others wait for this one in `successor` from then on.
 pub async fn follow(
     name: String,
-    mut from: UnixStream,
+    from: UnixStream,
     successor: Successor,
     exchange: Handle,
     turn: oneshot::Sender<()>,
     session: oneshot::Sender<Passed>,
 ) {
+    let mut from = Uninterrupted::new(from);
     let mut turn = Some(turn);
     let mut session = Some(session);
     loop {
@@ -131,7 +134,7 @@
         }
         // It has ended without a word, or another of those that waited has its place now.
         match place(&name).await {
-            Ok(Place::Behind(stream)) => from = stream,
+            Ok(Place::Behind(stream)) => from = Uninterrupted::new(stream),
             Ok(Place::First(listener)) => {
                 successor.wait_at(listener);
                 break;
@@ -149,7 +152,7 @@
 
 /// Takes what one process hands over, to its end.
 async fn take_over(
-    from: &mut UnixStream,
+    from: &mut Uninterrupted<UnixStream>,
     exchange: &Handle,
     turn: &mut Option<oneshot::Sender<()>>,
     session: &mut Option<oneshot::Sender<Passed>>,
@@ -203,11 +206,9 @@
     /// next one.
     pub fn wait_at(&self, listener: UnixListener) {
         let successor = self.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                successor.add(stream);
-            }
-        });
+        let add = move |_: &mut JoinSet<()>, stream| successor.add(stream);
+        // A process that waits costs no task: there is nothing to bound.
+        spawn_local(accept::serve(Acceptor::new("the next process", listener), 1, add));
     }
 
     fn add(&self, stream: UnixStream) {
@@ -245,7 +246,8 @@
 }
 
 /// Tells the next process what is handed over, until nothing is left.
-pub async fn tell(mut to: UnixStream, mut said: mpsc::UnboundedReceiver<Said>) {
+pub async fn tell(to: UnixStream, mut said: mpsc::UnboundedReceiver<Said>) {
+    let mut to = Uninterrupted::new(to);
     while let Some(message) = said.recv().await {
         if let Err(problem) = send(&mut to, &message).await {
             return warn!("the next process cannot be told: {problem}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod interface;
 pub mod knowledge;
 pub mod logic;
+pub mod net;
 pub mod node;
 pub mod partners;
 pub mod peers;
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,10 +29,12 @@
 use crate::fleet;
 use crate::fleet::copying::Part;
 use crate::fleet::view::View;
-use crate::front::{self, Shared, ajp, resp};
+use crate::front::{self, Door, Shared, ajp, resp};
 use crate::handover::{self, Place, Said, Successor};
 use crate::inherit;
 use crate::interface::{RequestId, SettingsError};
+use crate::net::accept::Acceptor;
+use crate::net::bind::{self, BindError};
 use crate::partners::live;
 use crate::partners::lookup::InForce;
 use crate::peers::{Routes, Teller, learn};
@@ -62,6 +64,9 @@
     /// A socket or signal cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// An address cannot be listened on.
+    #[error("{0}")]
+    Bind(#[from] BindError),
     /// The configuration cannot be kept.
     #[error("{0}")]
     Form(#[from] serde_json::Error),
@@ -103,7 +108,7 @@
     let Signals { hangup, mut terminate, mut interrupt } = signals;
     let listener = match config.inherited {
         Some(descriptor) => inherit::listener(descriptor)?,
-        None => TcpListener::bind(config.listen).await?,
+        None => bind::tcp("the platform", config.listen).await?,
     };
     info!("{} listens on {}", config.name, listener.local_addr()?);
     let (mut exchange, handle, servers) = exchange::new(config.seed, &config.site, config.memory_bytes)?;
@@ -183,6 +188,7 @@
     let reports = spawn_local(control::report(config.name.clone(), config.listen, peers, handle.clone()));
     let closing = CancellationToken::new();
     let shared = Shared::new(handle.clone(), closing.clone());
+    let succeeded = shared.clone();
     shared.halved.set(!alone.is_finished());
     spawn_local(settle_in(alone, on_its_own, config.clone(), published, routes, shared.clone()));
     let fronts = fronts(&config, listener, shared).await?;
@@ -201,7 +207,10 @@
     let leaving =
         Leaving { told: Instant::now(), stop: config.stop, exchange: handle, closing, fronts, reports };
     match next {
-        Some(next) => hand_over(leaving, next, passes).await,
+        Some(next) => {
+            succeeded.succeeded.set(true);
+            hand_over(leaving, next, passes).await
+        }
         None => drain(leaving, &successor).await,
     }
     left.await;
@@ -458,10 +467,10 @@
 }
 
 /// Answers those that ask what is known of the servers, where that is wished.
-async fn answer_peers(config: &Config, routes: Rc<Routes>, exchange: Handle) -> io::Result<()> {
+async fn answer_peers(config: &Config, routes: Rc<Routes>, exchange: Handle) -> Result<(), NodeError> {
     let table = &config.operator.knowledge;
     if let Some(listen) = table.listen {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = bind::tcp("questions about servers", listen).await?;
         info!("{} listens for questions about servers on {}", config.name, listener.local_addr()?);
         let (name, allow) = (config.name.clone(), table.allow.clone());
         spawn_local(Teller { name, allow, routes, exchange }.serve(listener));
@@ -470,14 +479,15 @@
 }
 
 /// Opens the operators' door, which stays open to the end.
-async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> io::Result<()> {
-    let listener = TcpListener::bind(admin).await?;
+async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> Result<(), NodeError> {
+    let listener = bind::tcp("operators", admin).await?;
     let most = Descriptors::of(config.sockets).operators;
     info!("{} listens for operators on {}", config.name, listener.local_addr()?);
     let shared = Shared::new(exchange, CancellationToken::new());
     let of_all = shared.clone();
     let connection = move |stream, seat| front::admin::connection(stream, of_all.clone(), seat);
-    spawn_local(front::serve(listener, front::admin::room(most), shared, connection));
+    let door = Door::own("operators", listener);
+    spawn_local(front::serve(door, front::admin::room(most), shared, connection));
     Ok(())
 }
 
@@ -618,21 +628,27 @@
 }
 
 /// Starts the platform's front and, where the operator has set it up, the one for AJP.
-async fn fronts(config: &Config, listener: TcpListener, shared: Rc<Shared>) -> io::Result<JoinSet<()>> {
+async fn fronts(
+    config: &Config,
+    listener: TcpListener,
+    shared: Rc<Shared>,
+) -> Result<JoinSet<()>, NodeError> {
     let mut fronts = JoinSet::new();
     let most = Descriptors::of(config.sockets).clients;
     if let Some(options) = config.operator.ajp.clone() {
-        let listener = TcpListener::bind(options.listen).await?;
+        let listener = bind::tcp("AJP", options.listen).await?;
         info!("{} listens for AJP on {}", config.name, listener.local_addr()?);
         let connections = options.connections.map_or(most / 2, |set| set.min(most / 2));
         let front = Rc::new(ajp::Front { shared: shared.clone(), options });
         let connection = move |stream, seat| ajp::connection(stream, front.clone(), seat);
-        fronts.spawn_local(front::serve(listener, front::room(connections), shared.clone(), connection));
+        let door = Door::own("AJP", listener);
+        fronts.spawn_local(front::serve(door, front::room(connections), shared.clone(), connection));
     }
     let most = if config.operator.ajp.is_some() { most / 2 } else { most };
     let of_all = shared.clone();
     let connection = move |stream, seat| resp::connection(stream, shared.clone(), seat);
-    fronts.spawn_local(front::serve(listener, front::room(most), of_all, connection));
+    let door = Door { acceptor: Acceptor::new("the platform", listener), held: config.inherited.is_some() };
+    fronts.spawn_local(front::serve(door, front::room(most), of_all, connection));
     Ok(fronts)
 }
 
--- a/src/partners/fetch.rs
+++ b/src/partners/fetch.rs
@@ -12,10 +12,11 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
+use crate::net::connect as connection;
+
 use super::asking::NUMBER;
 
 /// How long a connection may take to open.
@@ -119,16 +120,8 @@
 }
 
 async fn connect(at: SocketAddr, from: IpAddr) -> Result<Open, Failed> {
-    let opening = async {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if at.is_ipv4() == from.is_ipv4() {
-            socket.bind(SocketAddr::new(from, 0))?;
-        }
-        let stream: TcpStream = socket.connect(at).await?;
-        stream.set_nodelay(true)?;
-        Ok::<_, io::Error>(stream)
-    };
-    let stream = timeout(CONNECT, opening).await.map_err(|_| Failed::Late("the connection opened"))??;
+    let opened = timeout(CONNECT, connection::connect(at, Some(from))).await;
+    let stream = opened.map_err(|_| Failed::Late("the connection opened"))?.map_err(io::Error::from)?;
     let (sender, connection) =
         http1::Builder::new().max_buf_size(HEAD).handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await?;
     let carrier = spawn_local(async move {
--- a/src/partners/publish.rs
+++ b/src/partners/publish.rs
@@ -17,10 +17,14 @@
 use log::{debug, error, info};
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinSet, spawn_blocking};
+use tokio::task::spawn_blocking;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::net::accept::{self, Acceptor};
+use crate::net::bind;
+use crate::net::connect::Stream;
+
 use super::asking::{Asked, FLEET, NUMBER, ROUTES, SCHEMA};
 use super::route::Name;
 use super::site::{NotAnswered, Site};
@@ -38,22 +42,17 @@
 const READ_WITHIN: Duration = Duration::from_secs(5);
 /// No connection is served for longer.
 const OLDEST: Duration = Duration::from_secs(3600);
-/// Wait after a failed accept or bind.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Wait after an address that could not be had for seconds, so that the log has a line for each.
+const PAUSE: Duration = Duration::from_secs(1);
 
 type Answer = Response<Full<Bytes>>;
 
 /// Listens once the address can be had: another process of the node may have it still.
 pub async fn listen(at: SocketAddr) -> TcpListener {
-    let mut said = false;
     loop {
-        match TcpListener::bind(at).await {
+        match bind::tcp("partners", at).await {
             Ok(listener) => return listener,
-            Err(problem) if !said => {
-                error!("partners: {at} cannot be listened on yet: {problem}");
-                said = true;
-            }
-            Err(_) => {}
+            Err(problem) => error!("partners: {problem}"),
         }
         sleep(PAUSE).await;
     }
@@ -62,26 +61,16 @@
 /// Answers for as long as the node lives.
 pub async fn serve(listener: TcpListener, site: Rc<Site>) {
     info!("partners: {} listens for partners on {}", site.node(), site.listens());
-    let mut open = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept(), if open.len() < CONNECTIONS => match accepted {
-                Ok((stream, from)) => {
-                    open.spawn_local(timeout(OLDEST, connection(stream, from, site.clone())));
-                }
-                Err(problem) => {
-                    debug!("no connection can be accepted: {problem}");
-                    sleep(PAUSE).await;
-                }
-            },
-            Some(_) = open.join_next() => {}
-        }
-    }
+    let acceptor = Acceptor::new("partners", listener);
+    accept::serve(acceptor, CONNECTIONS, move |open, (stream, from): (TcpStream, SocketAddr)| {
+        open.spawn_local(timeout(OLDEST, connection(stream, from, site.clone())));
+    })
+    .await;
 }
 
 async fn connection(stream: TcpStream, from: SocketAddr, site: Rc<Site>) {
     let _ = stream.set_nodelay(true);
-    let mut stream = TimeoutStream::new(stream);
+    let mut stream = TimeoutStream::new(Stream::new(stream));
     stream.set_write_timeout(Some(READ_WITHIN));
     let stream = TokioIo::new(Box::pin(stream));
     let serve = service_fn(move |question| {
--- a/src/peers/ask.rs
+++ b/src/peers/ask.rs
@@ -7,7 +7,6 @@
 
 use log::{info, warn};
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -16,6 +15,7 @@
 use crate::config::KnowledgeTable;
 use crate::frame::{receive_within, send};
 use crate::knowledge::{Digest, DigestError};
+use crate::net::connect::connect;
 
 /// Times that a donor is asked, and the wait before the next; what comes later is of little use to a node that has
 /// served meanwhile.
@@ -48,7 +48,7 @@
 /// It cannot be reached, does not answer in time, or its answer cannot be read.
 pub async fn ask(at: SocketAddr, ask: Subject, most: usize, within: Duration) -> Result<Told, AskError> {
     let asked = async {
-        let mut stream = TcpStream::connect(at).await?;
+        let mut stream = connect(at, None).await.map_err(io::Error::from)?;
         send(&mut stream, &Question { version: VERSION, ask }).await?;
         receive_within(&mut stream, most).await?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))
     };
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -1,7 +1,7 @@
 //! Where other nodes and the operator ask what this node knows of the servers: one question on a connection.
 
 use std::io;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,18 +9,17 @@
 use log::debug;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::routes::Routes;
 use super::wire::{QUESTION_BYTES, Question, Subject, Told, VERSION};
 use crate::exchange::{Handle, Input, Oddity};
 use crate::frame::{receive_within, send};
+use crate::net::accept::{self, Acceptor};
+use crate::net::connect::Stream;
 
 /// Connections served at once; the others wait.
 const CONNECTIONS: usize = 8;
-/// Wait after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// A connection that is not done by then is closed.
 const DONE_WITHIN: Duration = Duration::from_secs(5);
 
@@ -48,30 +47,22 @@
     /// Answers for as long as the node lives.
     pub async fn serve(self, listener: TcpListener) {
         let teller = Rc::new(self);
-        let mut open = JoinSet::new();
-        loop {
-            tokio::select! {
-                accepted = listener.accept(), if open.len() < CONNECTIONS => match accepted {
-                    Ok((stream, from)) if teller.may_ask(from.ip()) => {
-                        open.spawn_local(teller.clone().connection(stream));
-                    }
-                    Ok(_) => teller.exchange.tell(Input::Odd(Oddity::Stranger)).await,
-                    Err(problem) => {
-                        debug!("no connection can be accepted: {problem}");
-                        teller.exchange.tell(Input::Odd(Oddity::Unaccepted)).await;
-                        sleep(ACCEPT_PAUSE).await;
-                    }
-                },
-                Some(_) = open.join_next() => {}
-            }
-        }
+        let acceptor = Acceptor::new("questions about servers", listener);
+        accept::serve(acceptor, CONNECTIONS, move |open, (stream, from): (TcpStream, SocketAddr)| {
+            open.spawn_local(teller.clone().connection(stream, from.ip()));
+        })
+        .await;
     }
 
     fn may_ask(&self, from: IpAddr) -> bool {
         self.allow.iter().any(|network| network.contains(&from.to_canonical()))
     }
 
-    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, from: IpAddr) {
+        if !self.may_ask(from) {
+            return self.exchange.tell(Input::Odd(Oddity::Stranger)).await;
+        }
+        let mut stream = Stream::new(stream);
         let answered = timeout(DONE_WITHIN, self.answer(&mut stream)).await;
         if let Err(bad) = answered.map_err(|_| Bad::Late).and_then(|answered| Ok(answered?)) {
             debug!("a question about servers is not answered: {bad}");
@@ -79,7 +70,7 @@
         }
     }
 
-    async fn answer(&self, stream: &mut TcpStream) -> io::Result<()> {
+    async fn answer(&self, stream: &mut Stream) -> io::Result<()> {
         let Some(question) = receive_within::<Question>(stream, QUESTION_BYTES).await? else { return Ok(()) };
         let told = match question {
             Question { version: VERSION, ask: Subject::Digest } => {
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -46,6 +46,8 @@
     WindowOnWallTime,
     /// After a failed sync, a second one of the same data counts as proof.
     SecondSyncBelieved,
+    /// A listener ends at the first connection that cannot be accepted.
+    AcceptEnds,
 }
 
 thread_local! {
@@ -67,6 +69,7 @@
         Planted::HolderUnproved,
         Planted::ListUnproved,
         Planted::WindowOnWallTime,
+        Planted::AcceptEnds,
     ];
     of_processes.into_iter().find(|planted| format!("{planted:?}") == named)
 });
--- a/src/store/inquire.rs
+++ b/src/store/inquire.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::fleet::view::{Applicant, Node};
 use crate::fleet::wire::{DATAGRAM_BYTES, Packet};
+use crate::net::{bind, datagram};
 
 /// Questions, and how long each is given.
 const TIMES: u32 = 3;
@@ -38,12 +39,13 @@
 /// Asks at the address of the life that has the name who is there.
 pub(super) async fn find(from: Option<IpAddr>, rival: &Node, newcomer: &Applicant) -> Found {
     let from = from.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
-    let Ok(socket) = UdpSocket::bind(SocketAddr::new(from, 0)).await else { return Found::Silent };
+    let Ok(socket) = bind::udp("an inquiry", SocketAddr::new(from, 0)).await else { return Found::Silent };
     let (name, incarnation) = (rival.applicant.name.clone(), rival.incarnation);
     let inquiry = Packet::Inquiry { name, incarnation, rival: newcomer.address };
     let Some(bytes) = inquiry.to_bytes() else { return Found::Silent };
     for _ in 0..TIMES {
-        if socket.send_to(&bytes, rival.applicant.address).await.is_err() {
+        if datagram::send(&socket, &bytes, rival.applicant.address).await.is_err() {
+            sleep(EACH).await;
             continue;
         }
         if let Ok(Some(found)) = timeout(EACH, heard(&socket, rival, newcomer)).await {
@@ -57,7 +59,7 @@
 async fn heard(socket: &UdpSocket, rival: &Node, newcomer: &Applicant) -> Option<Found> {
     let mut bytes = [0; DATAGRAM_BYTES];
     loop {
-        let (length, from) = socket.recv_from(&mut bytes).await.ok()?;
+        let (length, from) = datagram::receive(socket, &mut bytes).await.ok()?;
         if from != rival.applicant.address {
             continue;
         }
@@ -79,10 +81,10 @@
 /// Sends each of these what is for it.
 pub(super) async fn ring(from: Option<IpAddr>, to: &[(SocketAddr, Vec<u8>)]) -> std::io::Result<()> {
     let from = from.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
-    let socket = UdpSocket::bind(SocketAddr::new(from, 0)).await?;
+    let socket = bind::udp("news of the view", SocketAddr::new(from, 0)).await?;
     for (address, bytes) in to {
         // One that cannot be reached keeps no other from being told.
-        let _ = socket.send_to(bytes, address).await;
+        let _ = datagram::send(&socket, bytes, *address).await;
     }
     Ok(())
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::StoreOptions;
 use crate::duty::{DutyName, Vouched, table as duty};
 use crate::fleet::view as fleet;
+use crate::net::bind;
 use decide::members::Place;
 use enter::{End, Session};
 
@@ -355,7 +356,7 @@
     shown: Arc<watch::Sender<Contents>>,
 ) -> Result<(), StoreError> {
     let listener = match options.listen {
-        Some(listen) => Some(TcpListener::bind(listen).await?),
+        Some(listen) => Some(bind::tcp("the store", listen).await.map_err(std::io::Error::from)?),
         None => None,
     };
     if let Some(listener) = &listener {
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -10,7 +10,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use log::{debug, warn};
+use log::debug;
 use openraft::error::{
     Fatal, InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, ReplicationClosed,
     StreamingError, Unreachable,
@@ -23,11 +23,13 @@
 use openraft::{AnyError, OptionalSend, Snapshot, SnapshotMeta, Vote};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::JoinSet;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
 
 use crate::frame::{receive, receive_within, send};
+use crate::net::accept::{self, Acceptor};
+use crate::net::connect::{self as connection, Stream};
+use crate::net::errors::Failure;
 
 use super::decide::identity::Marked;
 use super::decide::members::Place;
@@ -135,24 +137,13 @@
 }
 
 /// Connects from the address that this member listens on, by which others may know it.
-async fn connect(address: &str, own: Option<IpAddr>) -> io::Result<TcpStream> {
-    let Some(to) = tokio::net::lookup_host(address).await?.next() else {
-        return Err(io::Error::new(io::ErrorKind::NotFound, format!("{address} is no address")));
-    };
-    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    if let Some(own) = own.filter(|own| !own.is_unspecified() && own.is_ipv4() == to.is_ipv4()) {
-        socket.bind(SocketAddr::new(own, 0))?;
-    }
-    let stream = socket.connect(to).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
+async fn connect(address: &str, own: Option<IpAddr>) -> Result<Stream, Failure> {
+    let found = tokio::net::lookup_host(address).await.map_err(Failure::Connect)?.next();
+    let none = || io::Error::new(io::ErrorKind::NotFound, format!("{address} is no address"));
+    connection::connect(found.ok_or_else(none).map_err(Failure::Connect)?, own).await
 }
 
-async fn exchange<T: DeserializeOwned>(
-    stream: &mut TcpStream,
-    message: &Message,
-    most: usize,
-) -> io::Result<T> {
+async fn exchange<T: DeserializeOwned>(stream: &mut Stream, message: &Message, most: usize) -> io::Result<T> {
     send(stream, message).await?;
     receive_within(stream, most).await?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
@@ -186,44 +177,23 @@
 
 /// Serves members and programs beside this one.
 pub(super) async fn serve(listener: &TcpListener, door: Arc<Door>) {
-    let mut open = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept(), if open.len() < CONNECTIONS => match accepted {
-                Ok((stream, _)) => {
-                    open.spawn(connection(stream, door.clone()));
-                }
-                Err(problem) => {
-                    warn!("the store can accept no connection: {problem}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            },
-            Some(_) = open.join_next() => {}
-        }
-    }
+    let acceptor = Acceptor::new("the store", listener);
+    accept::serve(acceptor, CONNECTIONS, move |open, (stream, _): (TcpStream, SocketAddr)| {
+        open.spawn(connection(stream, door.clone()));
+    })
+    .await;
 }
 
 /// Tells whoever asks that this member can promise nothing now, and why.
 pub(super) async fn refuse(listener: &TcpListener, number: u64, why: &str) {
-    let mut open = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept(), if open.len() < CONNECTIONS => match accepted {
-                Ok((stream, _)) => {
-                    let why = format!("this member of the store takes nothing on: {why}");
-                    open.spawn(timeout(IDLE, refuse_one(stream, number, why)));
-                }
-                Err(problem) => {
-                    debug!("the store can accept no connection: {problem}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            },
-            Some(_) = open.join_next() => {}
-        }
-    }
+    accept::serve(Acceptor::new("the store", listener), CONNECTIONS, |open, (stream, _)| {
+        let why = format!("this member of the store takes nothing on: {why}");
+        open.spawn(timeout(IDLE, refuse_one(Stream::new(stream), number, why)));
+    })
+    .await;
 }
 
-async fn refuse_one(mut stream: TcpStream, number: u64, why: String) -> io::Result<()> {
+async fn refuse_one(mut stream: Stream, number: u64, why: String) -> io::Result<()> {
     while let Some(message) = receive::<Message>(&mut stream).await? {
         let answer = match message {
             Message::Asked(Query::Status) => Answer::Status(Box::new(Status::blank(number, why.clone()))),
@@ -236,7 +206,9 @@
     Ok(())
 }
 
-async fn connection(mut stream: TcpStream, door: Arc<Door>) {
+async fn connection(stream: TcpStream, door: Arc<Door>) {
+    let _ = stream.set_nodelay(true);
+    let mut stream = Stream::new(stream);
     match answer_all(&mut stream, &door).await {
         Ok(()) => {}
         // Members drop a link in the middle of a question whenever they give it up.
@@ -245,15 +217,14 @@
     }
 }
 
-async fn answer_all(stream: &mut TcpStream, door: &Arc<Door>) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+async fn answer_all(stream: &mut Stream, door: &Arc<Door>) -> io::Result<()> {
     while let Some(message) = timeout(IDLE, receive(stream)).await?? {
         timeout(IDLE, answer_one(stream, door, message)).await??;
     }
     Ok(())
 }
 
-async fn answer_one(stream: &mut TcpStream, door: &Arc<Door>, message: Message) -> io::Result<()> {
+async fn answer_one(stream: &mut Stream, door: &Arc<Door>, message: Message) -> io::Result<()> {
     match message {
         Message::Raft { cluster, from, to, call } => hear(stream, door, (cluster, from, to), call).await?,
         Message::Hello => send(stream, &door.about()).await?,
@@ -275,7 +246,7 @@
 
 /// Answers the consensus library of another member, which must mean this one.
 async fn hear(
-    stream: &mut TcpStream,
+    stream: &mut Stream,
     door: &Arc<Door>,
     (cluster, from, to): (u64, u64, u64),
     call: Call,
@@ -331,7 +302,7 @@
     network: Network,
     target: u64,
     address: String,
-    stream: Option<TcpStream>,
+    stream: Option<Stream>,
 }
 
 impl RaftNetworkFactory<Types> for Network {
--- a/src/verdict/door.rs
+++ b/src/verdict/door.rs
@@ -3,12 +3,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use log::debug;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::evidence::Voter;
 use super::holding::Vote;
@@ -16,33 +14,24 @@
 use super::part::Seat;
 use super::wire::{Answer, Holder, PATIENCE, QUESTION_BYTES, Said, What, receive, send};
 use crate::fleet::view::{Applicant, Node};
+use crate::net::accept::{self, Acceptor};
+use crate::net::connect::Stream;
 
 /// Connections served at once; further ones wait.
 const ROOM: usize = 64;
-/// Time until a connection is accepted again after one could not be.
-const AGAIN: Duration = Duration::from_millis(20);
 
 /// Answers for as long as the node runs.
 pub(super) async fn open(listener: TcpListener, seat: Rc<Seat>) {
-    let mut open = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept(), if open.len() < ROOM => match accepted {
-                Ok((stream, from)) => {
-                    open.spawn_local(timeout(PATIENCE, connection(stream, from, seat.clone())));
-                }
-                Err(problem) => {
-                    debug!("no connection can be accepted: {problem}");
-                    sleep(AGAIN).await;
-                }
-            },
-            Some(_) = open.join_next() => {}
-        }
-    }
+    let acceptor = Acceptor::new("votes", listener);
+    accept::serve(acceptor, ROOM, move |open, (stream, from)| {
+        open.spawn_local(timeout(PATIENCE, connection(stream, from, seat.clone())));
+    })
+    .await;
 }
 
-async fn connection(mut stream: TcpStream, from: SocketAddr, seat: Rc<Seat>) -> io::Result<()> {
+async fn connection(stream: TcpStream, from: SocketAddr, seat: Rc<Seat>) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut stream = Stream::new(stream);
     let said: Said = receive(&mut stream, QUESTION_BYTES).await?;
     let answer = answer(&seat, from, said);
     // A list is an effect of the duty: the lease was looked at just now, and whoever gets the list knows its number.
--- a/src/verdict/part.rs
+++ b/src/verdict/part.rs
@@ -13,7 +13,6 @@
 use log::{error, info, warn};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -31,6 +30,7 @@
 use crate::duty::lease::now_ms;
 use crate::duty::{Held, Unproved, Voucher};
 use crate::fleet::view::{Node, View};
+use crate::net::bind;
 use crate::partners::lookup::InForce;
 
 /// Periods in which a voter that is there is heard.
@@ -148,7 +148,7 @@
     view: watch::Receiver<View>,
     given: oneshot::Receiver<mpsc::Receiver<Held>>,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(options.listen).await?;
+    let listener = bind::tcp("votes", options.listen).await?;
     info!("{} listens for votes on {}", options.name, listener.local_addr()?);
     let guard = open_guard(&options).await?;
     let seat = Rc::new(Seat {
--- a/src/verdict/wire.rs
+++ b/src/verdict/wire.rs
@@ -7,10 +7,11 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
+use crate::net::connect::connect;
+
 use super::evidence::{Evidence, MOST_BYTES};
 use super::keeper::Trial;
 use super::list::{List, MOST_ENTRIES, Number};
@@ -93,7 +94,7 @@
 ///
 /// # Errors
 /// The connection breaks.
-pub async fn send<T: Serialize>(to: &mut TcpStream, message: &T) -> io::Result<()> {
+pub async fn send<T: Serialize>(to: &mut (impl AsyncWrite + Unpin), message: &T) -> io::Result<()> {
     let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
     to.write_all(&[&length.to_be_bytes()[..], &body].concat()).await
@@ -103,7 +104,7 @@
 ///
 /// # Errors
 /// The connection breaks, or what comes is no such message.
-pub async fn receive<T: DeserializeOwned>(from: &mut TcpStream, most: usize) -> io::Result<T> {
+pub async fn receive<T: DeserializeOwned>(from: &mut (impl AsyncRead + Unpin), most: usize) -> io::Result<T> {
     let length = from.read_u32().await? as usize;
     if length > most {
         let why = format!("a message of {length} bytes, over {most}");
@@ -124,12 +125,7 @@
 /// It cannot be reached, or does not answer within [`PATIENCE`].
 pub async fn say(at: SocketAddr, from: IpAddr, said: &Said) -> io::Result<Answer> {
     let asked = async {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if from.is_ipv4() == at.is_ipv4() {
-            socket.bind(SocketAddr::new(from, 0))?;
-        }
-        let mut stream = socket.connect(at).await?;
-        stream.set_nodelay(true)?;
+        let mut stream = connect(at, Some(from)).await?;
         send(&mut stream, said).await?;
         receive(&mut stream, ANSWER_BYTES).await
     };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,11 +5,11 @@
 pub mod ajp;
 pub mod resp;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -25,6 +25,9 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sillflow");
 
+/// Where a node's folder has the system calls that are to fail: see `src/net/fault.rs`.
+const FAULTS: &str = "net-faults";
+
 /// Folders that were made.
 static DIRS: AtomicU64 = AtomicU64::new(0);
 
@@ -95,6 +98,13 @@
     assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
 }
 
+/// Puts the system calls that are to fail into the file of a node, as a whole.
+pub fn put_faults(file: &Path, text: &str) {
+    let next = file.with_extension("next");
+    std::fs::write(&next, text).expect("a file");
+    std::fs::rename(next, file).expect("a file");
+}
+
 /// A node and its stand-ins.
 pub struct Node {
     child: Child,
@@ -184,6 +194,9 @@
         if let Some(other) = config.as_object_mut().and_then(|config| config.remove("calls_to")) {
             config["records"] = other;
         }
+        let set = config.as_object_mut().and_then(|config| config.remove("environment"));
+        let set: BTreeMap<String, String> =
+            set.map(|set| serde_json::from_value(set).expect("words")).unwrap_or_default();
         let file = dir.0.join(format!("config-{}.json", processor.port));
         let wall = dir.0.join(format!("wall-{}", processor.port));
         let [offset, planted] = ["wall_offset_ms", "planted"].map(|name| take(&mut config, name));
@@ -219,9 +232,11 @@
             .env("PROXY_CONFIG", &file)
             .env("SILLFLOW_OPERATOR", dir.0.join("operator.toml"))
             .env("TMPDIR", &dir.0)
+            .env("SILLFLOW_NET_FAULTS", dir.0.join(FAULTS))
             .env_remove("PROXY_NAME")
             .env_remove("PROXY_LISTEN")
             .env_remove("PROXY_ADMIN_ADDR")
+            .envs(set)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
@@ -315,6 +330,17 @@
         self.seen.iter().any(|line| line.contains(part))
     }
 
+    /// The lines of the log until now that are so.
+    pub fn lines(&mut self, is_so: impl Fn(&str) -> bool) -> usize {
+        self.seen.extend(self.log.try_iter());
+        self.seen.iter().filter(|line| is_so(line)).count()
+    }
+
+    /// Has these system calls fail from now on; none where the text is empty.
+    pub fn faults(&self, text: &str) {
+        put_faults(&self.dir.0.join(FAULTS), text);
+    }
+
     /// Waits for a report of this state.
     pub fn reported(&mut self, state: &str) {
         let mut datagram = [0; 64];
