--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -578,13 +578,8 @@
         Ok(self.set_meta(VOTE, vote).map_err(|e| StorageIOError::write_vote(&e))?)
     }
 
-    /// A member that led is a follower at its start. The consensus library would let it lead on at once, with the commit
-    /// index that was kept last: that is kept behind the answers to callers, so reads would miss what was acknowledged.
     async fn read_vote(&mut self) -> Result<Option<Vote<u64>>, StorageError<u64>> {
-        let read = || Ok::<_, DiskError>((self.meta::<Vote<u64>>(VOTE)?, self.said()?));
-        let (vote, identity) = read().map_err(|e| StorageIOError::read_vote(&e))?;
-        let own = identity.map(|identity| identity.member);
-        Ok(vote.map(|vote| Vote { committed: vote.committed && vote.leader_id.voted_for() != own, ..vote }))
+        Ok(self.meta(VOTE).map_err(|e| StorageIOError::read_vote(&e))?)
     }
 
     /// How far the log is committed is a help at the next start and no promise: it waits for the next sync.
--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -293,12 +293,7 @@
         let machine = StateMachine::new(disk.clone(), self.shown.clone())?;
         let raft = Raft::new(own, config, network, disk.clone(), machine).await;
         let raft = raft.map_err(|e| StoreError::raft(&e))?;
-        let is_initialized = raft.is_initialized().await.map_err(|e| StoreError::raft(&e))?;
-        if is_initialized && self.is_alone() {
-            // Nobody else could stand for election, or be disturbed by one.
-            raft.trigger().elect().await.map_err(|e| StoreError::raft(&e))?;
-        }
-        if !is_initialized
+        if !raft.is_initialized().await.map_err(|e| StoreError::raft(&e))?
             && let Some(founders) = disk.founders::<BTreeMap<u64, Place>>()?
             && let Err(problem) = raft.initialize(founders).await
         {
@@ -317,6 +312,7 @@
             silent,
             options: self.options.clone(),
             level: Arc::default(),
+            has_written: Arc::default(),
         };
         *locked(&self.door.member) = Some(member.clone());
         Ok(member)
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 
 use super::decide::members::{Limits, Place};
 use super::inquire::{self, Found};
-use super::map::{Contents, Deed, Logged};
+use super::map::{Batch, Contents, Deed, Logged};
 use super::wire::{self, Heard, Message};
 use super::writer::Writer;
 use super::{Answer, Backup, Change, Denied, MOST_BYTES, Outcome, Query, Role, Status, Truth, Types};
@@ -55,6 +55,8 @@
     pub options: Arc<StoreOptions>,
     /// When it was last level with the one that leads.
     pub level: Arc<Mutex<Option<Instant>>>,
+    /// Whether an entry of this process was agreed on: before that its map may lack what was acknowledged.
+    pub has_written: Arc<AtomicBool>,
 }
 
 /// What came of one try.
@@ -357,7 +359,14 @@
     }
 
     /// Resolves once this member has all that was acknowledged before.
+    /// The consensus library lets a member that led lead on at its start, with the commit index that was kept last: that is
+    /// kept behind the answers to callers. An entry that is agreed on has all before it applied.
     async fn level(&self) -> Result<(), Tried> {
+        if !self.has_written.load(Relaxed) {
+            let written = self.raft.client_write(Batch(Vec::new())).await;
+            written.map_err(|_| Tried::Elsewhere(None))?;
+            self.has_written.store(true, Relaxed);
+        }
         match self.raft.ensure_linearizable().await {
             Ok(_) => Ok(()),
             Err(problem) => {
