Tell the age of a kept table of partners' routes by the clock of the boot

Cause: partners/keep.rs told how long a table had been kept by the wall clock at both ends. A step back by less than the process was away made it fresher than it is, so a route could be held longer than its partner allows; one by more dropped the tables; a step forward made them older (docs/clocks.md had it as open).

Change: CLOCK_BOOTTIME and the boot's id stand beside the time of the wall clock, which counts behind another boot and for files of earlier versions alone; those read as before.

--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -17,6 +17,9 @@
 /// reading of the clock. Builds without debug assertions ignore it.
 const OFFSET_FILE: &str = "SILLFLOW_WALL_OFFSET";
 
+/// Where Linux names the boot.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+
 /// The wall clock at the start of the process, and when that was.
 static START: LazyLock<(f64, StdInstant)> = LazyLock::new(|| (wall_ms(), StdInstant::now()));
 
@@ -42,6 +45,12 @@
     read().unwrap_or(0.0)
 }
 
+/// Which boot of the machine this is, where the system tells: times since the boot compare within one alone.
+pub fn boot_id() -> Option<String> {
+    let id = std::fs::read_to_string(BOOT_ID).ok()?;
+    Some(id.trim().to_owned()).filter(|id| !id.is_empty())
+}
+
 /// The time in Unix ms by which what a document limits has ended: never earlier than it was, and never behind the wall
 /// clock. A step back lengthens nothing; a step forward, which may be the correction of a clock that was behind at the
 /// start, ends things sooner and for as long as it lasts.
--- a/src/partners/live.rs
+++ b/src/partners/live.rs
@@ -20,11 +20,13 @@
 use super::board::Board;
 use super::fetch::{Answer, Failed, Line, pause};
 use super::follow::follow;
+use super::lead::Now;
 use super::lookup::InForce;
 use super::route::Name;
 use super::site::{Inside, Site, now};
 use super::table::Fault;
 use super::{keep, publish};
+use crate::clock::boot_id;
 use crate::config::{PartnersTable, SiteTable};
 use crate::durable::{create_directory, is_transient};
 use crate::duty::hold::Held;
@@ -96,13 +98,18 @@
     Ok(())
 }
 
+/// A time for what is kept over a restart.
+fn kept_at(now: Now) -> keep::Stamp {
+    keep::Stamp { utc_ms: now.utc, boot_ms: now.own, boot: boot_id() }
+}
+
 /// What was kept: without it numbers could run backwards. While the folder fails the part does not begin.
 async fn open_kept(directory: &Path) -> io::Result<(Guard, Option<Feed>)> {
     let mut said = false;
     loop {
         let opened = create_directory(directory).and_then(|()| {
             let guard = Guard::open(&directory.join(NUMBERS))?;
-            Ok((guard, keep::read(directory, now().utc)?))
+            Ok((guard, keep::read(directory, &kept_at(now()))?))
         });
         match opened {
             Err(problem) if is_transient(&problem) => {
@@ -369,7 +376,7 @@
             (site.inside.borrow().board.tell(None, now.own), now)
         };
         let directory = site.table.directory.clone();
-        let written = spawn_blocking(move || keep::write(&directory, &telling.feed(), now.utc)).await;
+        let written = spawn_blocking(move || keep::write(&directory, &telling.feed(), kept_at(now))).await;
         let written = written.unwrap_or_else(|problem| Err(io::Error::other(problem)));
         match (&written, failing) {
             (Ok(()), true) => info!("partners: the table is kept again"),
--- a/tests/durable.rs
+++ b/tests/durable.rs
@@ -10,8 +10,10 @@
 use rstest::rstest;
 use sillflow::durable::{LoadError, Operations, SmallFile, is_transient};
 use sillflow::duty::{DutyName, Fence, Guard, Stale};
+use sillflow::partners::asking::Line;
 use sillflow::partners::board::Board;
-use sillflow::partners::keep;
+use sillflow::partners::keep::{self, Stamp};
+use sillflow::partners::route::Name;
 use sillflow::planted::{Planted, plant};
 use sillflow::verdict::kept::KeptGuard;
 use sillflow::verdict::list::{List, Number};
@@ -298,21 +300,55 @@
     assert!(KeptGuard::open(Some(path)).is_err_and(|problem| problem.to_string().contains("at byte 0")));
 }
 
+/// This many ms since 1970, on a system that tells nothing of its boots.
+fn stamp(utc_ms: u64) -> Stamp {
+    Stamp { utc_ms, ..Stamp::default() }
+}
+
+/// The same in the boot `boot`, which began so long ago.
+fn booted(utc_ms: u64, boot: &str, boot_ms: u64) -> Stamp {
+    Stamp { utc_ms, boot_ms, boot: Some(boot.to_owned()) }
+}
+
+/// Two seconds pass between the two, whatever the wall clock says.
+#[rstest]
+#[case::no_step(booted(10_000_000, "a", 5000), booted(10_002_000, "a", 7000), Some(2000))]
+#[case::an_hour_back(booted(10_000_000, "a", 5000), booted(6_402_000, "a", 7000), Some(2000))]
+#[case::a_second_back(booted(10_000_000, "a", 5000), booted(10_001_000, "a", 7000), Some(2000))]
+#[case::an_hour_forward(booted(10_000_000, "a", 5000), booted(13_602_000, "a", 7000), Some(2000))]
+#[case::another_boot(booted(10_000_000, "a", 5000), booted(10_002_000, "b", 900), Some(2000))]
+#[case::another_boot_and_back(booted(10_000_000, "a", 5000), booted(6_402_000, "b", 900), None)]
+#[case::an_earlier_version(stamp(10_000_000), booted(10_002_000, "a", 7000), Some(2000))]
+#[case::no_word_of_boots(stamp(10_000_000), stamp(10_002_000), Some(2000))]
+fn a_kept_table_is_as_stale_as_it_is(
+    #[case] then: Stamp,
+    #[case] now: Stamp,
+    #[case] passed_ms: Option<u64>,
+) {
+    let real = Real::new();
+    let mut feed = Board::default().tell(None, 0).feed();
+    let name = Name::try_from("partner").expect("a name");
+    feed.partners.insert(name.clone(), Line { seen: feed.version, stale_ms: 100 });
+    keep::write(&real.0, &feed, then).expect("it is kept");
+    let kept = keep::read(&real.0, &now).expect("it is whole").expect("it is there");
+    assert_eq!(kept.partners[&name].stale_ms, passed_ms.map_or(u64::MAX, |passed_ms| 100 + passed_ms));
+}
+
 #[rstest]
 fn a_table_of_partners_that_cannot_be_kept_leaves_the_one_before() {
     let real = Real::new();
     let feed = Board::default().tell(None, 0).feed();
-    keep::write(&real.0, &feed, 1000).expect("it is kept");
+    keep::write(&real.0, &feed, stamp(1000)).expect("it is kept");
     real.block("partners.json");
-    keep::write(&real.0, &feed, 2000).expect_err("it is not kept");
+    keep::write(&real.0, &feed, stamp(2000)).expect_err("it is not kept");
     real.unblock("partners.json");
-    assert!(keep::read(&real.0, 2000).expect("it is whole").is_some());
-    keep::write(&real.0, &feed, 3000).expect("it is kept again");
+    assert!(keep::read(&real.0, &stamp(2000)).expect("it is whole").is_some());
+    keep::write(&real.0, &feed, stamp(3000)).expect("it is kept again");
     let path = real.0.join("partners.json");
     let whole = std::fs::read(&path).expect("a file");
     for length in 0..whole.len() {
         std::fs::write(&path, &whole[..length]).expect("a file");
-        let problem = keep::read(&real.0, 3000).expect_err("it is torn").to_string();
+        let problem = keep::read(&real.0, &stamp(3000)).expect_err("it is torn").to_string();
         assert!(problem.contains(&format!("partners.json is damaged at byte {length}")), "{problem}");
     }
 }
