Never run a request that is read after the grace, whatever its ts says

Cause: the decision module tells by a request's age whether it came within the grace of a notice to leave (logic.rs, admit), and the age comes from the caller's ts. A request that was read 300 ms after the end of the grace with a ts from before it was run; so would one whose age is overestimated by a clock that was stepped.

Change: the exchange notes when the grace ends; for one that is read later, the module is told its receipt as its arrival. Its due time stays.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -182,6 +182,8 @@
     processor_started: f64,
     /// Whether the notice to leave has come.
     leaving: bool,
+    /// Requests that are read later than this are never run; infinite without a notice.
+    grace_ends: f64,
     /// When all that is open is to be answered, as the process is stopped then; infinite without a notice.
     stop_at: f64,
     /// What the decision module says of its health, and what the operator wishes.
@@ -234,6 +236,7 @@
             up: false,
             processor_started: f64::NEG_INFINITY,
             leaving: false,
+            grace_ends: f64::INFINITY,
             stop_at: f64::INFINITY,
             wants_traffic: false,
             maintenance: false,
@@ -322,6 +325,7 @@
             Input::Drain { stop_in_ms } => {
                 info!("draining: {} requests open, {stop_in_ms} ms to the stop", self.entries.len());
                 self.leaving = true;
+                self.grace_ends = self.grace_ends.min(self.clock.now() + self.site.settings.drain_grace_ms);
                 self.stand();
                 if self.up {
                     self.stop_by(self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0));
@@ -478,7 +482,8 @@
             due: told,
             hint_ms: ask.hint_ms,
             held_kb: ask.held_kb,
-            waited_ms,
+            // One that is read after the grace does not count as of before it, whatever its caller says.
+            waited_ms: if received > self.grace_ends { now - received } else { waited_ms },
             further: ask.further,
             earlier,
         }));
--- a/tests/races_fronts.rs
+++ b/tests/races_fronts.rs
@@ -8,6 +8,7 @@
 
 use rstest::rstest;
 use serde_json::Value;
+use sillflow::config::Descriptors;
 use support::ajp::{WebServer, forward};
 use support::resp::{FrontEnd, array};
 use support::{Node, PATIENCE, settings, try_id, unix_ms};
@@ -123,21 +124,23 @@
     assert_eq!(rest_of(&mut web.stream), b"");
 }
 
-/// A front end's connection at rest, in a node that has no room for a further one.
-fn full(most: usize) -> (Node, Vec<FrontEnd>) {
+/// A node whose front has no room for a further connection, with all that it has.
+fn full() -> (Node, Vec<FrontEnd>) {
+    const DESCRIPTORS: usize = 128;
     let mut config = support::config(settings());
-    // Three in eight of the descriptors are not for clients, and AJP has half of the rest.
-    config["limits"]["sockets"] = (most * 2 * 8 / 5).into();
+    config["limits"]["sockets"] = DESCRIPTORS.into();
     let mut node = Node::launch_as(config, "");
     node.processor.greet("warm");
     node.reported("Ready");
+    // AJP has half of the room.
+    let most = Descriptors::of(DESCRIPTORS).clients / 2;
     let fronts = (0..most).map(|_| FrontEnd::connect(&node.resp)).collect();
     (node, fronts)
 }
 
 #[rstest]
 fn a_request_in_the_instant_in_which_its_connection_makes_room_is_answered() {
-    let (mut node, mut fronts) = full(40);
+    let (mut node, mut fronts) = full();
     for front in &mut fronts {
         assert_eq!(front.answer_to_status().word, "healthy");
     }
@@ -178,15 +181,19 @@
 }
 
 #[rstest]
-fn a_request_in_the_instant_its_connection_is_given_back_is_answered_and_not_run_after_the_grace() {
-    let mut node = Node::start();
+#[case::of_now(0)]
+#[case::of_before_the_end_of_the_grace(550)]
+fn a_request_in_the_instant_its_connection_is_given_back_is_answered_and_not_run_after_the_grace(
+    #[case] ago_ms: u64,
+) {
+    let mut node = Node::start_with(patient());
     let mut front = FrontEnd::connect(&node.resp);
     assert_eq!(front.answer_to_status().word, "healthy");
     node.terminate();
     let words = front.words();
     assert_eq!(words[1], b"closing", "the connection is given back first");
-    // The grace was over long before: it is answered, and never run.
-    front.ask(1, "plate-check", &try_id(1), "", b"body");
+    // The grace was over 300 ms before, whatever the request says of when it was sent: it is answered, and never run.
+    front.ask_at(unix_ms() - ago_ms, 1, "plate-check", &try_id(1), "", b"body");
     assert_eq!(front.answer().word, "later");
     assert_eq!(node.processor.count("begin"), 0);
 }
