Review: a store's member that was away does not catch up, and the next loss stops the store

Seen: entries that a member lacks are sent to it as one frame of any length, and it reads frames of 8 MiB at the most. With 300 writes of 60,000 bytes made while it was away, it stays 303 entries behind. When another member is lost, no write is acknowledged and no key can be read, though two disks of three are there.

Added: review/3, with its claim and a script.

With 100 writes the member catches up.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,95 @@
+"""A member of three that was away does not catch up, so the loss of another one stops the store for good."""
+
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+from common import BROKEN, HELD, TROUBLE, NotRun, Node, command, folder, free_port, note, run, say, wait_for
+from idle import Control, IdleProcessor
+from settings import config
+
+# Within the bounds of docs/store.md: 64 KiB for a key and its value, 4 MiB in all, 4,096 keys.
+VALUE_BYTES = int(os.environ.get("VALUE_BYTES", "60000"))
+KEYS = 40
+WRITES = int(os.environ.get("WRITES", "300"))
+# How long the member that was away has to catch up before anything else happens. The pages name no time.
+CATCHES_UP_S = 20.0
+# "Writes go on within 5 s of the last fault where a majority of the disks is left." Far more is given.
+GOES_ON_S = 25.0
+
+
+def act():
+    processors, control = [IdleProcessor() for _ in range(3)], Control()
+    ports = [free_port() for _ in range(3)]
+    at = ["127.0.0.1:%d" % port for port in ports]
+    nodes = []
+    for i in range(3):
+        peers = "".join(
+            '[[store.peers]]\nid = %d\naddress = "%s"\n' % (j + 1, at[j]) for j in range(3) if j != i
+        )
+        operator = '[store]\nid = %d\nlisten = "%s"\ndirectory = "%s"\n%s' % (
+            i + 1, at[i], folder("disk-%d" % (i + 1), "store"), peers,
+        )
+        whole = config("n%d" % (i + 1), free_port(), processors[i].port, control.port)
+        nodes.append(Node("n%d" % (i + 1), whole, operator))
+
+    def status(i):
+        return command("store", "status", "--at", at[i])
+
+    wait_for("three members that serve", 40, lambda: all(status(i)[0] == 0 for i in range(3)))
+    say("three members serve")
+
+    # The member that goes is one that follows, so that no election comes into it.
+    follower = next(i for i in range(3) if "leader" not in role(status(i)[1]))
+    others = [i for i in range(3) if i != follower]
+    if TROUBLE:
+        nodes[follower].kill()
+
+    began = time.monotonic()
+    for n in range(WRITES):
+        value = "%06d " % n + "v" * (VALUE_BYTES - 7)
+        code, out, err = command("set", "settings/%02d" % (n % KEYS), value, "--at", at[others[n % 2]])
+        note("set settings/%02d (%d bytes): %s" % (n % KEYS, VALUE_BYTES, out.strip() if code == 0 else err))
+        if code != 0:
+            raise NotRun("write %d was not acknowledged: %s" % (n, err))
+    code, out, err = command("set", "mark", "acknowledged", "--at", at[others[0]])
+    if code != 0:
+        raise NotRun("the mark was not acknowledged: %s" % err)
+    say("%d writes of %d bytes acknowledged in %.1f s" % (WRITES, VALUE_BYTES, time.monotonic() - began))
+
+    if TROUBLE:
+        nodes[follower].start()
+    until, caught_up = time.monotonic() + CATCHES_UP_S, False
+    while time.monotonic() < until and not caught_up:
+        time.sleep(1)
+        out = command("get", "mark", "--local", "--at", at[follower])[1]
+        caught_up = "acknowledged" in out
+    note("the members as the leader sees them:\n" + command("store", "members", "--at", at[others[0]])[1])
+    say("member %d has caught up: %s" % (follower + 1, caught_up))
+
+    # Of three disks, two are left, and both their members run.
+    if TROUBLE:
+        nodes[others[1]].kill()
+    lost = time.monotonic()
+    while time.monotonic() < lost + GOES_ON_S:
+        code, out, err = command("set", "after", "it goes on", "--at", at[others[0]])
+        say("set after, %.1f s behind the loss: %s" % (time.monotonic() - lost, out.strip() if code == 0 else err))
+        if code == 0:
+            break
+    wrote = code == 0
+    code, out, err = command("get", "mark", "--at", at[others[0]])
+    say("get mark: %s" % (out.strip() if code == 0 else err))
+    read = code == 0 and "acknowledged" in out
+    for i in (others[0], follower):
+        note("status of member %d:\n%s%s" % (i + 1, *status(i)[1:]))
+        if not nodes[i].is_running():
+            raise NotRun("member %d does not run" % (i + 1))
+    return HELD if wrote and read else BROKEN
+
+
+def role(status):
+    return next((line for line in status.splitlines() if line.startswith("role")), status)
+
+
+run(__file__, act)
