--- a/review/lib/settings.py
+++ b/review/lib/settings.py
@@ -59,26 +59,3 @@
         whole["records"] = "127.0.0.1:%d" % records
     whole.update(more)
     return whole
-
-
-def portal(cores=6):
-    """portal-akl: three classes that call nothing below, one of them keyed; runs cannot be stopped."""
-    whole = almaty(cores, memory_kb=60000.0)
-    whole["areas"] = ["akl-east", "akl-west"]
-    common = {"aim": 1800.0, "hard-limit": 4500.0, "late-worth": 0.0, "worth": 1.0}
-    whole["classes"] = [
-        {"name": "account-view", "effect": "retryable", "repeat-window": 5000.0, **common},
-        {"name": "settings-save", "effect": "retryable", "repeat-window": 5000.0, **common},
-        {"name": "topup-buy", "effect": "dedup", "repeat-window": 13584.0, **common},
-    ]
-    whole["family-info"].update(
-        {"below": "off", "blowup": 16.0, "calls-by-class": [False] * 3, "degraded-worth": [0.0] * 3, "halt": "off"}
-    )
-    whole["rules"].update({"fall-multiple": 8.0})
-    whole["tenants"] = [
-        {"name": "kaipara-wireless", "portion": 0.4, "quota-rps": 400.0},
-        {"name": "ruapehu-air", "portion": 0.36, "quota-rps": 360.0},
-        {"name": "maniototo-net", "portion": 0.24, "quota-rps": 240.0},
-    ]
-    whole["tiers"] = ["portal-nodes"]
-    return whole
