--- a/review/3/case.py
+++ b/review/3/case.py
@@ -95,6 +95,7 @@
             asked = others[tries % 2]
             tries += 1
             code, out, err = command("set", "after", "it goes on", "--at", at[asked])
+            note("set after, at member %d, the lost machine back: %s" % (asked + 1, out.strip() if code == 0 else err))
             if code == 0:
                 break
         say("with the lost machine back for %.1f s, set after: %s" % (
