--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -23,7 +23,13 @@
     let control = control();
     let start = |name: &'static str, processor: &str| {
         let admin = free_address();
-        let to = Addresses { listen: &listen, admin: &admin, processor, control: &control, records: "127.0.0.1:1" };
+        let to = Addresses {
+            listen: &listen,
+            admin: &admin,
+            processor,
+            control: &control,
+            records: "127.0.0.1:1",
+        };
         let file = folder.0.join(format!("{name}.json"));
         replace_file(&file, &configuration(&to, &almaty(), STOP_MS));
         let node = Node::start(name, &world, &file, &folder.0, Some(&held), &[]);
@@ -81,6 +87,7 @@
     if asked == 0 {
         finish(&world, 2, "no check was answered");
     }
-    let verdict = format!("{good} of {asked} health checks later than 4 s after the call are answered as good");
+    let verdict =
+        format!("{good} of {asked} health checks later than 4 s after the call are answered as good");
     finish(&world, i32::from(good > 0), &verdict)
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -20,7 +20,7 @@
 const GAP_MS: f64 = 100.0;
 /// Six cores of the older kind, and how many times slower they are for a while.
 const SPEED: f64 = 0.5;
-const SLOWER: f64 = 6.0;
+const SLOWER: f64 = 7.0;
 const SLOW_FROM_MS: u64 = 8_500;
 const SLOW_FOR_MS: u64 = 25_000;
 
@@ -44,7 +44,8 @@
         };
         Plan { steps, end: "ok" }
     };
-    let records = records(|_, _| Reply { after: ms(40), status: "200 OK", body: b"written".to_vec(), behind: None });
+    let records =
+        records(|_, _| Reply { after: ms(40), status: "200 OK", body: b"written".to_vec(), behind: None });
     let control = control();
     let start = |number: usize| {
         let names = ["process 0", "process 1", "process 2", "process 3", "process 4"];
@@ -116,10 +117,18 @@
     let all = locked(&world.requests).len();
     for (id, what) in &lost {
         let sent = world.get(id).unwrap_or_default();
-        world.note(format!("lost: {id} of {}, read {:.0} ms after the start: {what}", sent.class, sent.at - world.start));
+        world.note(format!(
+            "lost: {id} of {}, read {:.0} ms after the start: {what}",
+            sent.class,
+            sent.at - world.start
+        ));
     }
     let share = lost.len() as f64 / all as f64;
-    let verdict = format!("{} of {all} requests have no final answer in their time ({:.1} in 1,000)", lost.len(), share * 1e3);
+    let verdict = format!(
+        "{} of {all} requests have no final answer in their time ({:.1} in 1,000)",
+        lost.len(),
+        share * 1e3
+    );
     finish(&world, i32::from(share > 0.003), &verdict)
 }
 
@@ -140,7 +149,8 @@
             _ => ("pay-session", 200.0, 0.9, 5700.0),
         };
         let work = draws.lognormal(mean, cv);
-        let key = (class == "pay-session").then(|| format!("{:032x}", (world.start as u128) << 32 | turn as u128));
+        let key =
+            (class == "pay-session").then(|| format!("{:032x}", (world.start as u128) << 32 | turn as u128));
         let ask = Ask {
             class: class.to_owned(),
             key,
--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -172,7 +172,8 @@
 pub fn encode(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
         for at in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * at) & 63) as usize] as char;
             out.push(if at <= chunk.len() { digit } else { '=' });
@@ -382,15 +383,20 @@
                 inner.link = stream.try_clone().ok().map(|stream| (number, stream));
                 let up = self.up.elapsed().as_millis();
                 Self::write(inner, &format!("{{\"op\":\"hi\",\"end\":\"warm\",\"ms\":{up}}}"));
-                let missed: Vec<String> =
-                    inner.notices.iter().filter(|(seq, _)| *seq > after).map(|(_, line)| line.clone()).collect();
+                let missed: Vec<String> = inner
+                    .notices
+                    .iter()
+                    .filter(|(seq, _)| *seq > after)
+                    .map(|(_, line)| line.clone())
+                    .collect();
                 missed.iter().for_each(|line| Self::write(inner, line));
             }
             Some("usage") => {
                 let tag = field(line, "tag").unwrap_or_default();
                 let busy = self.cores.wanted.load(SeqCst) as f64;
                 let share = (busy / self.cores.count).min(1.0);
-                let used = format!("{{\"op\":\"used\",\"tag\":\"{tag}\",\"values\":[{share},{busy},0.1,3.0]}}");
+                let used =
+                    format!("{{\"op\":\"used\",\"tag\":\"{tag}\",\"values\":[{share},{busy},0.1,3.0]}}");
                 Self::write(inner, &used);
             }
             Some("begin") => self.begin(inner, &id, line),
@@ -412,7 +418,8 @@
             }
             Some("without") => {
                 let of: u64 = field(line, "seq").and_then(|seq| seq.parse().ok()).unwrap_or(0);
-                let waits = inner.runs.get_mut(&id).is_some_and(|run| run.waits.take_if(|seq| *seq == of).is_some());
+                let waits =
+                    inner.runs.get_mut(&id).is_some_and(|run| run.waits.take_if(|seq| *seq == of).is_some());
                 if waits {
                     self.advance(inner, &id);
                 }
@@ -429,7 +436,8 @@
     fn begin(&self, inner: &mut Inner, id: &str, line: &str) {
         let known = self.world.get(id);
         let body = decode(field(line, "body").unwrap_or_default());
-        let Some(sent) = known.filter(|sent| field(line, "class") == Some(&sent.class) && sent.body == body) else {
+        let Some(sent) = known.filter(|sent| field(line, "class") == Some(&sent.class) && sent.body == body)
+        else {
             self.world.note(format!("{}: rejects {id}", self.name));
             return Self::write(inner, &format!("{{\"op\":\"reject\",\"end\":\"begin\",\"id\":\"{id}\"}}"));
         };
@@ -440,7 +448,9 @@
         if sent.is_over() || inner.began.contains_key(id) {
             self.world.note(format!("{}: nothing is begun of {id}, which is over", self.name));
             Self::notify(inner, |seq| {
-                format!("{{\"op\":\"complete\",\"seq\":{seq},\"id\":\"{id}\",\"end\":\"void\",\"ms\":0,\"body\":\"\"}}")
+                format!(
+                    "{{\"op\":\"complete\",\"seq\":{seq},\"id\":\"{id}\",\"end\":\"void\",\"ms\":0,\"body\":\"\"}}"
+                )
             });
             return;
         }
@@ -460,7 +470,9 @@
         self.world.note(format!("{}: the run of {id} ends '{end}' after {took} ms", self.name));
         self.world.change(id, |sent| sent.ends.push((unix_ms(), end.to_owned())));
         Self::notify(inner, |seq| {
-            format!("{{\"op\":\"complete\",\"seq\":{seq},\"id\":\"{id}\",\"end\":\"{end}\",\"ms\":{took},\"body\":\"{body}\"}}")
+            format!(
+                "{{\"op\":\"complete\",\"seq\":{seq},\"id\":\"{id}\",\"end\":\"{end}\",\"ms\":{took},\"body\":\"{body}\"}}"
+            )
         });
     }
 
@@ -636,7 +648,8 @@
             fields.push_str(",resent=1");
         }
         fields.push_str(&more);
-        let sent = Sent { class: class.clone(), key: key.clone(), body: body.clone(), at, limit, ..Sent::default() };
+        let sent =
+            Sent { class: class.clone(), key: key.clone(), body: body.clone(), at, limit, ..Sent::default() };
         locked(&self.world.requests).insert(id.clone(), sent);
         locked(&self.open).insert(tag, id.clone());
         let bytes = array(&[b"ASK", tag.to_string().as_bytes(), class.as_bytes(), fields.as_bytes(), &body]);
@@ -702,7 +715,10 @@
     address
 }
 
-fn serve_calls(mut stream: TcpStream, answer: &(dyn Fn(&str, &[u8]) -> Reply + Send + Sync)) -> std::io::Result<()> {
+fn serve_calls(
+    mut stream: TcpStream,
+    answer: &(dyn Fn(&str, &[u8]) -> Reply + Send + Sync),
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(ms(10_000)))?;
     let mut reader = BufReader::new(stream.try_clone()?);
@@ -747,10 +763,19 @@
     address
 }
 
-/// A port that is free now.
+/// A port that is free now, for connections and datagrams. It is below those that systems give to connections of their
+/// own accord, so that none of them takes it until the node listens there.
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").to_string()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 37 + unix_ms() as u64;
+    for _ in 0..5000 {
+        let port = 12_000 + (first + NEXT.fetch_add(1, SeqCst)) % 18_000;
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free")
 }
 
 /// A temporary folder of its own, removed at the end.
