--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -78,7 +79,15 @@
     pub fn new() -> Arc<Self> {
         let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
         let (requests, lines) = (Mutex::default(), Mutex::default());
-        // No case may last longer, and all that it started is to end with it.
+        // Where a stand-in fails the case could not run, and all that it started is to end with it.
+        std::panic::set_hook(Box::new(|what| {
+            eprintln!("the case could not run: {what}");
+            if let Ok(mut started) = STARTED.try_lock() {
+                started.iter_mut().for_each(|child| drop(child.kill()));
+            }
+            std::process::exit(2)
+        }));
+        // No case may last longer.
         spawn(|| {
             sleep(ms(115_000));
             for child in locked(&STARTED).iter_mut() {
@@ -793,8 +802,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// What Linux calls the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const STOP: i32 = 19;
 pub const CONT: i32 = 18;
 pub const HUP: i32 = 1;
@@ -844,6 +857,13 @@
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a file");
         command.env("PROXY_CONFIG", config).env("TMPDIR", &temporary).envs(environment.iter().copied());
         command.stdout(Stdio::null()).stderr(Stdio::from(log));
+        // A node ends with the case that started it, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, KILL as u64);
+                Ok(())
+            })
+        };
         let child = command.spawn().expect("the node starts");
         world.note(format!("{name} is started"));
         let pid = child.id();
