Give each case of the second review a block of ports of its own

Seen: one run of case 6 without its disruption could not start its node while four other cases started beside it. Not reproduced (20 of 20 at once held) and not traced; by reading, two cases could draw the same port.

Added: a case holds the first port of a block and takes its ports from it. The checks, bounds and draws are as they were.

--- a/review/stand-2/mod.rs
+++ b/review/stand-2/mod.rs
@@ -772,16 +772,33 @@
     address
 }
 
+/// Ports that a case has for itself, and the port below them that it holds for as long as it runs.
+const BLOCK_PORTS: u64 = 36;
+
 /// A port that is free now, for connections and datagrams. It is below those that systems give to connections of their
-/// own accord, so that none of them takes it until the node listens there.
+/// own accord, so that none of them takes it until the node listens there; nor does a case that runs beside this one,
+/// as the first port of the block is held.
 pub fn free_address() -> String {
-    static NEXT: AtomicU64 = AtomicU64::new(0);
-    let first = u64::from(std::process::id()) * 37 + unix_ms() as u64;
-    for _ in 0..5000 {
-        let port = 12_000 + (first + NEXT.fetch_add(1, SeqCst)) % 18_000;
-        let address = format!("127.0.0.1:{port}");
-        if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
-            return address;
+    static BLOCK: Mutex<Option<(TcpListener, u64)>> = Mutex::new(None);
+    let mut block = locked(&BLOCK);
+    let drawn = u64::from(std::process::id()) * 37 + unix_ms() as u64;
+    for attempt in 0..500 {
+        if let Some((held, used)) = block.as_mut() {
+            let first = u64::from(held.local_addr().expect("an address").port());
+            while *used + 1 < BLOCK_PORTS {
+                *used += 1;
+                let address = format!("127.0.0.1:{}", first + *used);
+                if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
+                    return address;
+                }
+            }
+        }
+        let first = 12_000 + (drawn + attempt) % 500 * BLOCK_PORTS;
+        if let Ok(held) = TcpListener::bind(format!("127.0.0.1:{first}")) {
+            // A block that is used up is given back only with the process.
+            if let Some((used_up, _)) = block.replace((held, 0)) {
+                std::mem::forget(used_up);
+            }
         }
     }
     panic!("no port is free")
