Answer all open requests before the old process of an upgrade is stopped

Callers saw connections end without an answer: in an upgrade, requests open in the old process that needed longer than its stop were lost at SIGKILL. What reached the old process after the grace of its SIGTERM was run.

Cause: only a drain moved due times up to the stop and noted the end of the grace. The way to the next process (hand_over in src/node.rs) did neither.

Change: both ways share answer_all_before_stop. The decision module learns of the stop by Event::HandOver, which leaves health and load signal alone, since the node serves on. An upgrade may be killed after the longest deadline (3 s at most) and 0.7 s, so that bounds a longer stop_ms.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -77,7 +77,7 @@
     pub(super) processor_started_at: f64,
     /// Whether the node is draining.
     pub(super) draining: bool,
-    /// Requests that are read later than this are not run; infinite unless the node is draining.
+    /// Requests that are read later than this are not run; infinite unless the process is to be stopped.
     pub(super) grace_ends: f64,
     /// When every open request must have been answered, because the process is stopped; infinite unless a stop is due.
     pub(super) stop_at: f64,
@@ -207,6 +207,7 @@
             Input::CallRepeated(id) => self.events.push(Event::CallRepeated(id)),
             Input::Anomaly(anomaly) => self.count_anomaly(anomaly),
             Input::Replication(id, update) => self.replication_update(id, update),
+            Input::PrepareHandOver { stop_in_ms } => self.prepare_hand_over(stop_in_ms),
             Input::HandOver(successor) => self.hand_over(successor),
             Input::FromPredecessor(handed) => self.receive_handover(handed),
             Input::PredecessorEnded => self.predecessor_ended(),
--- a/src/exchange/lifecycle.rs
+++ b/src/exchange/lifecycle.rs
@@ -1,4 +1,4 @@
-//! Changes of the node's state: the processor connects, settings change, the node drains.
+//! Changes of the node's state: the processor connects, settings change, the node drains or hands over.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +17,10 @@
 pub(super) const FAILSAFE_MARGIN_MS: f64 = 20.0;
 /// All requests are answered this long before the process is stopped, in ms.
 const STOP_MARGIN_MS: f64 = 250.0;
+/// In an upgrade SIGKILL follows SIGTERM after the longest deadline, taken as the first of these where it is longer, and
+/// the second, in ms.
+const MAX_DEADLINE_IN_STOP_MS: f64 = 3_000.0;
+const STOP_AFTER_DEADLINE_MS: f64 = 700.0;
 /// A removed class is still served for this long, as front ends learn of the removal a second or two late.
 const RETIRED_CLASS_GRACE: Duration = Duration::from_secs(3);
 /// Start times reported by the processor that differ by more than this, in ms, are different starts. Smaller
@@ -28,18 +32,42 @@
     pub(super) fn drain(&mut self, stop_in_ms: f64) {
         info!("draining: {} requests open, the process is stopped in {stop_in_ms} ms", self.entries.len());
         self.draining = true;
+        self.update_status();
+        if let Some(stop_at) = self.answer_all_before_stop(stop_in_ms) {
+            self.events.push(Event::Drain { stop_at });
+        }
+    }
+
+    /// Prepares the hand-over to the next process of this node, before which the requests open here are answered as in
+    /// a drain. Health and load signal are the node's, which goes on to serve.
+    pub(super) fn prepare_hand_over(&mut self, stop_in_ms: f64) {
+        let stop_in_ms = stop_in_ms.min(self.earliest_kill_ms());
+        info!("{} requests open, answered before this process is stopped", self.entries.len());
+        if let Some(stop_at) = self.answer_all_before_stop(stop_in_ms) {
+            self.events.push(Event::HandOver { stop_at });
+        }
+    }
+
+    /// The earliest time after SIGTERM at which the platform kills the old process of an upgrade, in ms.
+    fn earliest_kill_ms(&self) -> f64 {
+        let deadlines = self.site.settings.classes.iter().map(|class| class.deadline_ms);
+        deadlines.fold(0.0, f64::max).min(MAX_DEADLINE_IN_STOP_MS) + STOP_AFTER_DEADLINE_MS
+    }
+
+    /// Has all open requests answered in good time before a stop, and nothing run that is read after the grace. Returns
+    /// the time of the stop for the decision module, which is not running before the processor is up.
+    fn answer_all_before_stop(&mut self, stop_in_ms: f64) -> Option<f64> {
         // The process may be stopped before the next regular report.
         self.anomalies.hurry();
         self.report_anomalies();
-        self.grace_ends = self.grace_ends.min(self.clock.now() + self.site.settings.drain_grace_ms);
-        self.update_status();
-        if self.processor_is_up {
-            self.answer_all_by(self.clock.now() + (stop_in_ms - STOP_MARGIN_MS).max(0.0));
-        }
+        let now = self.clock.now();
+        self.grace_ends = self.grace_ends.min(now + self.site.settings.drain_grace_ms);
+        self.processor_is_up.then(|| self.answer_all_by(now + (stop_in_ms - STOP_MARGIN_MS).max(0.0)))
     }
 
-    /// Has all open requests answered by `stop_at`, even if their callers would wait longer.
-    pub(super) fn answer_all_by(&mut self, stop_at: f64) {
+    /// Has all open requests answered by `stop_at`, even if their callers would wait longer. Returns the time that is
+    /// in force.
+    fn answer_all_by(&mut self, stop_at: f64) -> f64 {
         // A repeated notice does not postpone the stop.
         let stop_at = self.stop_at.min(stop_at);
         self.stop_at = stop_at;
@@ -50,7 +78,7 @@
                 self.timers.reset(failsafe, delay);
             }
         }
-        self.events.push(Event::Drain { stop_at });
+        stop_at
     }
 
     /// Time until the failsafe of a request that is due at `due`.
@@ -106,7 +134,8 @@
             let _ = self.controller.update_settings(self.site.settings.clone());
             self.controller.set_cold_start(started);
         }
-        if self.draining || std::mem::replace(&mut self.processor_is_up, true) {
+        let is_leaving = self.grace_ends.is_finite();
+        if is_leaving || std::mem::replace(&mut self.processor_is_up, true) {
             return;
         }
         info!("the processor is up, {} since {age_ms} ms", if cold { "cold" } else { "warm" });
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -282,6 +282,11 @@
     Anomaly(Anomaly),
     /// An update on a claim, or on the replication of a result.
     Replication(RequestId, News),
+    /// The next process of this node takes over, and this one will be stopped: all open requests are answered before.
+    PrepareHandOver {
+        /// Time until the process is stopped, in ms.
+        stop_in_ms: f64,
+    },
     /// The next process of this node is ready: the exchange sends it all keys, and later those that change.
     HandOver(mpsc::UnboundedSender<HandoverMessage>),
     /// A message of the hand-over from the previous process.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -244,6 +244,12 @@
         /// Clock time of the stop.
         stop_at: f64,
     },
+    /// The process is stopped at this clock time, and another one of the same node serves from now on. Due times and
+    /// the grace for arrivals are those of a drain; health and load signal stay those of the node.
+    HandOver {
+        /// Clock time of the stop.
+        stop_at: f64,
+    },
 }
 
 /// What the embedding server must do, in this order.
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -36,7 +36,7 @@
         let age_ms = self.caller_timeouts.age(share_left) * class.deadline_ms;
         let further = request.further || age_ms > 0.0;
         self.further_rate.add(self.now, f64::from(u8::from(further)), &ARRIVALS_SPAN);
-        let due = nominal_due.max(self.now).min(self.draining.map_or(f64::INFINITY, |drain| drain.stop_at));
+        let due = nominal_due.max(self.now).min(self.planned_stop.map_or(f64::INFINITY, |stop| stop.stop_at));
         let (aim_at, effect) = (arrival + class.aim_ms - age_ms, class.effect);
         let optional_call = class.skip_worth > 0.0;
         let window_end = arrival + class.window_ms + DUE_MARGIN_MS + self.settings.answer_slack_ms;
@@ -136,7 +136,7 @@
         let Some(entry) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[entry.class];
         let too_late = !fault_injection::is_active(InjectedFault::RunsAfterGrace)
-            && self.draining.is_some_and(|leaving| entry.arrival > leaving.last_arrival);
+            && self.planned_stop.is_some_and(|stop| entry.arrival > stop.last_arrival);
         let key_kb = entry.retain_until.map_or(0.0, |_| self.settings.key_kb);
         let call_wait_ms =
             if entry.must_call && !self.waiting_calls.is_empty() { self.call_wait_ms() } else { 0.0 };
--- a/src/logic/answers.rs
+++ b/src/logic/answers.rs
@@ -32,8 +32,7 @@
             * (RETRY_AFTER_REFUSAL_FACTOR * refusal_rate).min(1.0)
             * (1.0 - RETRY_AFTER_JITTER * self.rng.f64());
         let mostly_refused = refusal_rate > STOP_RETRIES_REFUSAL_RATE && !self.settings.marks_further;
-        let last = (mostly_refused || self.further_rate.value > STOP_RETRIES_FURTHER_RATE)
-            && self.draining.is_none();
+        let last = (mostly_refused || self.further_rate.value > STOP_RETRIES_FURTHER_RATE) && !self.draining;
         out.push(Action::Refuse { id: RequestId(id), stay_away_ms, last });
         self.forget(id, out);
         self.remove_entry(id);
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -28,7 +28,7 @@
 use self::dimmer::{Dimmer, PERIOD_MS};
 use self::memory::MemoryBudget;
 use self::patience::{CallerTimeouts, TIMEOUT_BUCKETS};
-use self::request::{Draining, Entry, Phase};
+use self::request::{Entry, Phase, PlannedStop};
 use self::run_limit::{RunLimit, RunTimes};
 use crate::fault_injection::{self, InjectedFault};
 use crate::interface::{
@@ -104,8 +104,10 @@
     unread_wait: Average,
     /// Factor on the time that idle connections stay open; raised in a flood.
     idle_time_factor: f64,
-    /// The drain under way, if any.
-    draining: Option<Draining>,
+    /// The stop that a drain or a hand-over ends in, if one is under way.
+    planned_stop: Option<PlannedStop>,
+    /// Whether the node asks for no traffic because it drains.
+    draining: bool,
     /// Capacity that requests of another process use.
     reserved: ReservedCapacity,
     orphaned: OrphanedRuns,
@@ -155,7 +157,8 @@
             arrival_count: Average::default(),
             unread_wait: Average::default(),
             idle_time_factor: 1.0,
-            draining: None,
+            planned_stop: None,
+            draining: false,
             reserved: ReservedCapacity::default(),
             orphaned: OrphanedRuns::default(),
             exhausted: false,
@@ -288,6 +291,7 @@
                 Event::CallRepeated(_) => {}
                 Event::Timer(gauges) => self.tick(gauges, out),
                 Event::Drain { stop_at } => self.drain(*stop_at, out),
+                Event::HandOver { stop_at } => self.plan_stop(*stop_at),
             }
         }
         self.answer_due(out);
--- a/src/logic/periodic.rs
+++ b/src/logic/periodic.rs
@@ -89,7 +89,7 @@
     /// refusals do not lower the last one.
     pub(super) fn send_load_signal(&mut self, out: &mut Vec<Action>) {
         let admitted_share = 1.0 - self.refusal_rate.decayed(self.now, &ARRIVALS_SPAN);
-        let speed = if self.draining.is_some() { 0.0 } else { self.warm_up_speed() };
+        let speed = if self.draining { 0.0 } else { self.warm_up_speed() };
         let wanted_share = admitted_share.min(speed);
         let value = match self.settings.say {
             SayKind::Off => return,
@@ -108,17 +108,27 @@
 
     /// Starts a drain: requests become due at `stop_at` at the latest, and health checks fail from now on.
     pub(super) fn drain(&mut self, stop_at: f64, out: &mut Vec<Action>) {
-        if self.draining.is_some() {
+        if std::mem::replace(&mut self.draining, true) {
+            return;
+        }
+        self.plan_stop(stop_at);
+        out.push(Action::Health { good: false });
+        self.send_load_signal(out);
+    }
+
+    /// Has all requests due at `stop_at` at the latest, and refuses those that arrive after the grace. The first stop
+    /// counts.
+    pub(super) fn plan_stop(&mut self, stop_at: f64) {
+        if self.planned_stop.is_some() {
             return;
         }
         let stop_at = if stop_at.is_finite() { stop_at } else { self.now };
-        self.draining = Some(Draining { last_arrival: self.now + self.settings.drain_grace_ms, stop_at });
+        let last_arrival = self.now + self.settings.drain_grace_ms;
+        self.planned_stop = Some(PlannedStop { last_arrival, stop_at });
         self.due_order.clear();
         for (id, entry) in self.requests.iter_mut().filter(|(_, entry)| !entry.answered) {
             entry.due = entry.due.min(stop_at);
             self.due_order.insert((micros(entry.due), *id));
         }
-        out.push(Action::Health { good: false });
-        self.send_load_signal(out);
     }
 }
--- a/src/logic/request.rs
+++ b/src/logic/request.rs
@@ -76,9 +76,9 @@
     }
 }
 
-/// A drain under way: nothing that arrives after `last_arrival` runs, and all is answered by `stop_at`.
+/// A stop ahead: nothing that arrives after `last_arrival` runs, and all is answered by `stop_at`.
 #[derive(Clone, Copy)]
-pub(super) struct Draining {
+pub(super) struct PlannedStop {
     pub(super) last_arrival: f64,
     pub(super) stop_at: f64,
 }
--- a/src/logic/runs.rs
+++ b/src/logic/runs.rs
@@ -94,7 +94,7 @@
             && memory_kb > MEMORY_THRESHOLDS.0 * self.memory.limit_kb;
         self.orphaned = found;
         let exhausted = no_permit || no_memory;
-        if std::mem::replace(&mut self.exhausted, exhausted) != exhausted && self.draining.is_none() {
+        if std::mem::replace(&mut self.exhausted, exhausted) != exhausted && !self.draining {
             out.push(Action::Health { good: !exhausted });
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -209,6 +209,7 @@
     match next {
         Some(next) => {
             succeeded.succeeded.set(true);
+            leaving.prepare_hand_over().await;
             hand_over(leaving, next, passes).await
         }
         None => drain(leaving, &successor).await,
@@ -664,6 +665,14 @@
     reports: JoinHandle<()>,
 }
 
+impl Leaving {
+    /// Has all that is open answered before the stop, by the time of the notice.
+    async fn prepare_hand_over(&self) {
+        let left = (self.told + self.stop).saturating_duration_since(Instant::now());
+        self.exchange.send(Input::PrepareHandOver { stop_in_ms: left.as_secs_f64() * 1000.0 }).await;
+    }
+}
+
 /// Leaves to the next process: gives the connections back at once, hands the keys over, and ends when all that it
 /// has read is answered and nothing runs any more.
 async fn hand_over(leaving: Leaving, next: UnixStream, duties: Option<hold::Ends>) {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::sync::mpsc::channel;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -67,6 +67,7 @@
         pay(&mut next, tag, key);
     }
     assert_eq!(next.answer().body, b"first", "a result of the process before");
+    assert_eq!(next.answer_to_status().word, "healthy", "all four are read before the first of them ends");
     old.processor.complete(&try_id(2), b"second");
     old.processor.end(&try_id(3), "void");
     assert_eq!(old.processor.begun(), try_id(4), "what the old one held it runs itself");
@@ -94,6 +95,64 @@
     assert_eq!(new.processor.count("begin"), 0);
 }
 
+/// Guards against requests that end with the old process of an upgrade, because their callers would wait beyond its stop.
+#[rstest]
+#[case::stop_of_the_platform(2_000)]
+#[case::stop_after_the_longest_deadline(60_000)]
+fn an_upgrade_answers_all_that_was_read_before_the_old_process_is_stopped(#[case] stop_ms: u64) {
+    /// SIGKILL comes no earlier after SIGTERM, with deadlines of 3 s or more.
+    const EARLIEST_KILL_MS: u64 = 3_700;
+    let (mut old, mut front) = held_with(|config| {
+        config["stop_ms"] = json!(stop_ms);
+        // A repeat behind the stop is still one.
+        config["settings"]["classes"][2]["repeat-window"] = json!(30_000.0);
+    });
+    let mut check = FrontEnd::connect(&old.resp);
+    assert_eq!(check.answer_to_status().word, "healthy");
+    for tag in [1, 2] {
+        pay(&mut front, tag, &format!("running-{tag}"));
+        assert_eq!(old.processor.begun(), try_id(tag));
+    }
+    // Two cores are taken: these are held, the second of them until the stop.
+    pay(&mut front, 3, "held");
+    front.ask(4, "plate-check", &try_id(4), "", b"body");
+    let mut new = waiting(&mut old);
+    old.terminate();
+    let told = Instant::now();
+    new.reported("Ready");
+    assert_eq!(check.answer_to_status().word, "healthy", "the node serves on in its next process");
+    let answers: Vec<_> = (0..4).map(|_| front.answer()).collect();
+    let took = told.elapsed();
+    let stop = Duration::from_millis(stop_ms.min(EARLIEST_KILL_MS));
+    assert!(took < stop, "the last answer came {took:?} after the notice, and the stop {stop:?} after it");
+    let served: Vec<_> = answers.iter().filter(|answer| answer.word == "done").collect();
+    assert!(served.is_empty(), "nothing has ended: {served:?}");
+    // What ran may have had its effect, so that its key is not run again.
+    let mut next = FrontEnd::connect(&new.resp);
+    pay(&mut next, 11, "running-1");
+    old.kill();
+    assert_eq!(next.answer().word, "error");
+    assert_eq!(new.processor.count("begin"), 0);
+}
+
+/// Guards against runs in the old process of an upgrade of what reaches it after the grace of its notice.
+#[rstest]
+fn the_old_process_of_an_upgrade_runs_nothing_that_comes_after_the_grace() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "running");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.reported("Ready");
+    // The grace of the settings is 300 ms, and only time ends it.
+    std::thread::sleep(Duration::from_millis(400));
+    front.ask(2, "plate-check", &try_id(2), "", b"body");
+    assert_eq!(front.answer().word, "later", "a caller that does not follow the notice");
+    old.processor.complete(&try_id(1), b"result");
+    assert_eq!(front.answer().body, b"result", "what came before is served");
+    assert_eq!(old.processor.count("begin"), 0);
+}
+
 #[rstest]
 fn a_key_that_the_old_process_never_told_the_end_of_is_failed_not_run() {
     let (mut old, mut front) = held();
