Give other connections their turn while one client sends at full speed

While one client sent NEVERMIND for tags that it never used as fast as it was read, others got answers up to 1.2 s late, or refusals.

Cause: all connections share one thread, and the reading part of a connection on the platform's protocol spends none of the runtime's budget on readiness and reads, so it ran for as long as there was more to read. Messages that take a place or are handed on spend some; a NEVERMIND for an unknown tag did not.

Change: each message spends budget by its length, on both fronts, and so does a read that completes none (front/fairness.rs).

--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -18,6 +18,7 @@
 use winnow::{ModalResult, Parser, Partial};
 
 use super::closing::{has_unread, linger};
+use super::fairness::account_for;
 use super::fields::{Fields, Unfit};
 use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
@@ -307,6 +308,7 @@
             match packet(&mut input) {
                 Ok(payload) => {
                     let length = payload.len();
+                    account_for(length).await;
                     self.buffer.advance(4);
                     return Ok(self.buffer.split_to(length).freeze());
                 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod ajp;
 mod closing;
+mod fairness;
 mod fields;
 pub mod resp;
 pub mod table;
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -21,6 +21,7 @@
 
 use self::wire::{Bad, Message, decode, frame, put_closing, put_reply, put_status};
 use super::closing::{has_unread, linger};
+use super::fairness::account_for;
 use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
 use crate::exchange::{Anomaly, Answer, IncomingRequest, Input, NodeStatus, Reply, ReplyTo};
@@ -211,8 +212,11 @@
             let message = decode(&words, &self.shared)?;
             self.buffer.advance(length);
             self.unfinished = None;
+            account_for(length).await;
             self.take(message).await?;
         }
+        // A read that completes no message is work as well.
+        account_for(0).await;
         if self.buffer.is_empty() {
             // A connection that rests costs no buffer.
             self.buffer = BytesMut::new();
