Run no request whose client had left before it was read

Cause: the end of a connection was seen only in the order of its bytes. The reading part saw a reset behind all that came before it, and not at all while it waited for a place; AJP handed a request on before it looked, and looked no more once 8 KiB had come early.

Change: the writing part ends a connection that is reset; what was read is dropped where the system tells that the connection is reset by then; AJP asks the system ahead of each request and goes on looking behind early bytes (front/closing.rs).

--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -10,14 +10,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use winnow::binary::{be_u8, be_u16};
 use winnow::combinator::{alt, preceded, terminated};
 use winnow::error::{ContextError, ErrMode};
 use winnow::token::take;
 use winnow::{ModalResult, Parser, Partial};
 
-use super::closing::{has_unread, linger};
+use super::closing::{has_closed, has_unread, linger};
 use super::fairness::account_for;
 use super::fields::{Fields, Unfit};
 use super::table::Seat;
@@ -35,6 +35,9 @@
 /// The longest body that is taken.
 const BODY_BYTES: usize = 64 * 1024;
 
+/// Time between two looks for the end of a connection on which more has come early than is kept.
+const END_LOOK: Duration = Duration::from_millis(50);
+
 /// What every connection of this front shares.
 pub struct Front {
     /// What it shares with other fronts.
@@ -366,7 +369,7 @@
     }
 
     /// Resolves when the web server gives the connection up. Bytes that come early are kept for later, up to
-    /// one packet.
+    /// one packet; from then on it is looked for the end alone.
     async fn given_up(&mut self) {
         while self.buffer.len() < PACKET_BYTES {
             match self.stream.read_buf(&mut self.buffer).await {
@@ -374,7 +377,9 @@
                 Ok(_) => {}
             }
         }
-        std::future::pending().await
+        while !has_closed(self.stream.get_ref()) {
+            sleep(END_LOOK).await;
+        }
     }
 }
 
@@ -459,6 +464,9 @@
     reply_to: ReplyTo,
     replies: &mut mpsc::UnboundedReceiver<Reply>,
 ) -> Result<Response, Bad> {
+    if has_closed(link.stream.get_ref()) {
+        return Err(Bad::Closed);
+    }
     let token = reply_to.token;
     let id: RequestId = front.shared.exchange.new_id();
     front.shared.exchange.submit(id, ask, reply_to).await;
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use self::wire::{Bad, Message, decode, frame, put_closing, put_reply, put_status};
-use super::closing::{has_unread, linger};
+use super::closing::{has_unread, is_reset, linger, reset};
 use super::fairness::account_for;
 use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
@@ -80,8 +80,9 @@
     let mut writing = Box::pin(writer.write());
     let ended = tokio::select! {
         biased;
-        ended = reader.read() => ended,
+        // First, so that nothing more is read once nobody is left to answer.
         ended = &mut writing => ended,
+        ended = reader.read() => ended,
     };
     if let Err(bad) = &ended {
         report(bad, &shared).await;
@@ -148,6 +149,9 @@
                     if !self.fill()? {
                         return if self.buffer.is_empty() { Ok(()) } else { Err(Bad::Unfinished) };
                     }
+                    if is_reset(self.from.as_ref()) {
+                        return Err(Bad::Io(io::ErrorKind::ConnectionReset.into()));
+                    }
                     last = Instant::now();
                     self.take_messages().await?;
                 }
@@ -295,13 +299,15 @@
 }
 
 impl Writer {
-    /// Writes answers, as many in one go as there are. Ends once no request can be answered any more.
+    /// Writes answers, as many in one go as there are. Ends once no request can be answered any more, or once the
+    /// connection is reset.
     async fn write(mut self) -> Result<(), Bad> {
         let (mut replies, mut others, mut out) = (Vec::new(), Vec::new(), Vec::new());
         let mut reading = true;
         loop {
             tokio::select! {
                 biased;
+                () = reset(self.to.get_ref().as_ref()) => return Err(Bad::Io(io::ErrorKind::ConnectionReset.into())),
                 more = self.other.recv_many(&mut others, WRITE_BATCH), if reading => reading = more > 0,
                 more = self.answered.recv_many(&mut replies, WRITE_BATCH) => if more == 0 {
                     return Ok(());
--- a/tests/races_fronts.rs
+++ b/tests/races_fronts.rs
@@ -5,10 +5,12 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::Value;
 use sillflow::config::Descriptors;
+use socket2::SockRef;
 use support::ajp::{WebServer, forward};
 use support::resp::{FrontEnd, array};
 use support::{Node, PATIENCE, settings, try_id, unix_ms};
@@ -255,3 +257,88 @@
     let second = if first.tag == "1" { front.answer() } else { first };
     assert_eq!((second.tag.as_str(), &second.body[..]), ("2", &b"other"[..]));
 }
+
+/// Sends requests and leaves; no answer is read.
+fn send_and_leave(mut stream: TcpStream, requests: &[u8], reset: bool) {
+    stream.write_all(requests).expect("a write");
+    if reset {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+    }
+    leave(stream);
+}
+
+/// Closes a connection and waits until its end has come to the other side. A process that is being started at the moment
+/// keeps a copy of the socket for a while.
+fn leave(stream: TcpStream) {
+    let port = stream.local_addr().expect("an address").port();
+    drop(stream);
+    let is_open = |row: &str| {
+        let columns: Vec<&str> = row.split_whitespace().collect();
+        matches!(columns[..], [_, local, _, "01", ..] if local.ends_with(&format!(":{port:04X}")))
+    };
+    let until = Instant::now() + PATIENCE;
+    while std::fs::read_to_string("/proc/net/tcp").expect("a table").lines().any(is_open) {
+        assert!(Instant::now() < until, "the connection from port {port} stays open");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// The requests that a front end asks next are the first that the node runs.
+fn runs_first(node: &mut Node, req: &str) {
+    let mut other = FrontEnd::connect(&node.resp);
+    (0..10).for_each(|_| drop(other.answer_to_status()));
+    other.ask(1, "plate-check", req, "", b"body");
+    assert_eq!(node.processor.begun(), req);
+}
+
+/// Guards against runs of requests whose front end has reset the connection before they were read.
+#[rstest]
+#[case::as_many_as_the_protocol_allows(32)]
+#[case::more_than_may_be_open(200)]
+fn requests_on_a_connection_that_was_reset_are_not_run(#[case] count: u64) {
+    let mut node = Node::start();
+    let mut front = FrontEnd::connect(&node.resp);
+    assert_eq!(front.answer_to_status().word, "healthy");
+    let requests: Vec<u8> =
+        (1..=count).flat_map(|tag| request(tag, "plate-check", &try_id(tag), "")).collect();
+    let stream = front.stream.try_clone().expect("a handle");
+    drop(front);
+    node.pause();
+    send_and_leave(stream, &requests, true);
+    node.resume();
+    runs_first(&mut node, &try_id(9000));
+}
+
+/// Guards against runs of requests whose web server has closed the connection before they were read.
+#[rstest]
+#[case::closed(false)]
+#[case::reset(true)]
+fn requests_whose_web_servers_have_left_are_not_run(#[case] reset: bool) {
+    let mut node = Node::start();
+    node.pause();
+    for number in 1..=8 {
+        let (server, req) = (WebServer::connect(&node.ajp), try_id(number));
+        let left = forward("/v1/plate-check", &[("Op-Req", req.as_str())], Some(0));
+        send_and_leave(server.stream, &left, reset);
+    }
+    node.resume();
+    runs_first(&mut node, &try_id(9000));
+}
+
+/// Guards against requests that are sent on behind one whose web server has left with more unread than the node keeps.
+#[rstest]
+fn what_a_web_server_sent_early_is_not_run_once_it_has_left() {
+    let mut node = Node::start_with(patient());
+    let mut server = WebServer::connect(&node.ajp);
+    let ask = |number: u64| {
+        let req = try_id(number);
+        forward("/v1/plate-check", &[("Op-Req", req.as_str())], Some(0))
+    };
+    server.send(&ask(1));
+    assert_eq!(node.processor.begun(), try_id(1));
+    let early: Vec<u8> = (2..=200).flat_map(ask).collect();
+    server.send(&early);
+    leave(server.stream);
+    node.processor.complete(&try_id(1), b"result");
+    runs_first(&mut node, &try_id(9000));
+}
