Bound the memory that slow clients take in sum, not for each connection alone

With hundreds of clients that stop half way through large requests, send heads of very many short fields or never read, a process could pass its memory limit.

Cause: AJP kept all headers of a request until its answer, 40 bytes for one of 4, and took bodies of 64 KiB on every connection at once; on the platform's protocol 64 answers of 4 KiB were encoded at a time, into a buffer that the connection kept.

Change: AJP keeps the headers that it uses; bodies of open requests take an eighth of memory_mb at the most, and a request beyond that is turned away unread (503, with a key 500, since another try may have run); answers are written once 8 KiB of them are encoded.

--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -171,6 +171,8 @@
     AnswersNotRead,
     /// A connection was closed unread because the limit of connections was reached.
     ConnectionLimit,
+    /// A request was turned away unread because the bodies of open requests take all memory that they may.
+    BodiesFull,
     /// A connection could not be accepted.
     AcceptFailed,
     /// A run continues long after its caller was answered or gave up.
@@ -208,6 +210,7 @@
             Self::IncompleteInput => "connections closed, as no complete message arrived in time",
             Self::AnswersNotRead => "connections closed, as the client did not read its answers",
             Self::ConnectionLimit => "connections closed unread at the connection limit",
+            Self::BodiesFull => "requests turned away unread, as bodies take all memory that they may",
             Self::AcceptFailed => "connections could not be accepted",
             Self::RunOutlastsCaller => "runs continue long after their callers were answered or gave up",
             Self::RunUnknownToProcessor => "runs unknown to the processor, with no end reported",
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
 use tokio::time::{sleep, timeout};
 use winnow::binary::{be_u8, be_u16};
 use winnow::combinator::{alt, preceded, terminated};
@@ -35,6 +35,11 @@
 /// The longest body that is taken.
 const BODY_BYTES: usize = 64 * 1024;
 
+/// Part of the process's memory that the bodies of open requests may take: one in so many. It is given out in units.
+const BODIES_MEMORY_SHARE: usize = 8;
+const BODY_UNIT_BYTES: usize = 1024;
+/// How long a web server is to stay away where there is no memory for a body.
+const BODIES_FULL_STAY_AWAY_MS: f64 = 1_000.0;
 /// Time between two looks for the end of a connection on which more has come early than is kept.
 const END_LOOK: Duration = Duration::from_millis(50);
 
@@ -44,6 +49,22 @@
     pub shared: Rc<Shared>,
     /// What the operator has set.
     pub options: Ajp,
+    bodies: Semaphore,
+}
+
+impl Front {
+    /// A front whose requests take a fixed part of the process's memory for their bodies at the most.
+    pub fn new(shared: Rc<Shared>, options: Ajp, memory_bytes: usize) -> Self {
+        let permits = memory_bytes / BODIES_MEMORY_SHARE / BODY_UNIT_BYTES;
+        Self { shared, options, bodies: Semaphore::new(permits.min(Semaphore::MAX_PERMITS)) }
+    }
+
+    /// Reserves memory for a body of this length; one of unknown length may become as long as is taken. None where there is
+    /// no more.
+    fn reserve_body(&self, length: Option<usize>) -> Option<SemaphorePermit<'_>> {
+        let units = length.unwrap_or(BODY_BYTES).div_ceil(BODY_UNIT_BYTES);
+        self.bodies.try_acquire_many(u32::try_from(units).ok()?).ok()
+    }
 }
 
 /// Why a connection is closed.
@@ -102,7 +123,8 @@
     uri: &'a [u8],
     /// Where it came to the web server from.
     address: &'a [u8],
-    headers: Vec<(Name<'a>, &'a [u8])>,
+    /// Of those in [`HEADERS`], the first of each.
+    headers: [Option<&'a [u8]>; HEADERS.len()],
     secret: Option<&'a [u8]>,
 }
 
@@ -113,6 +135,21 @@
 const UNCODED: u8 = 0;
 const CONTENT_LENGTH: u8 = 8;
 
+/// The headers that this front makes use of.
+const HEADERS: [(u8, &str); 11] = [
+    (CONTENT_LENGTH, "content-length"),
+    (UNCODED, "transfer-encoding"),
+    (UNCODED, "op-req"),
+    (UNCODED, "op-ts"),
+    (UNCODED, "op-timeout-ms"),
+    (UNCODED, "op-owner"),
+    (UNCODED, "op-resent"),
+    (UNCODED, "op-work-ms"),
+    (UNCODED, "op-need-kb"),
+    (UNCODED, "op-key"),
+    (UNCODED, "op-subject"),
+];
+
 fn string<'a>(input: &mut &'a [u8]) -> ModalResult<&'a [u8]> {
     let absent = be_u16.verify(|n| *n == 0xffff).value(&[][..]);
     let present = be_u16.flat_map(|n| terminated(take(n), 0u8));
@@ -128,7 +165,8 @@
     let (address, _host, _server, _port, _tls) = (string, string, string, be_u16, be_u8).parse_next(input)?;
     let mut request = Forward { method, uri, address, ..Forward::default() };
     for _ in 0..be_u16.parse_next(input)? {
-        request.headers.push((name, string).parse_next(input)?);
+        let (name, value) = (name, string).parse_next(input)?;
+        request.keep_header(name, value);
     }
     loop {
         match be_u8.parse_next(input)? {
@@ -149,17 +187,24 @@
 }
 
 impl<'a> Forward<'a> {
+    /// Keeps a header that this front makes use of. What it keeps does not grow with the number of headers.
+    fn keep_header(&mut self, name: Name<'a>, value: &'a [u8]) {
+        if let Some(known) = HEADERS.iter().position(|(code, text)| name.is(*code, text)) {
+            self.headers[known].get_or_insert(value);
+        }
+    }
+
     /// A header that this front makes use of. Those of others may hold any bytes.
-    fn header(&self, code: u8, text: &str) -> Option<&'a str> {
-        let found = self.headers.iter().find(|(name, _)| name.is(code, text));
-        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    fn header(&self, text: &str) -> Option<&'a str> {
+        let known = HEADERS.iter().position(|(_, known)| *known == text)?;
+        self.headers[known].and_then(|value| std::str::from_utf8(value).ok())
     }
 
     /// How much body follows; `None` where only its end will tell.
     fn length(&self) -> Result<Option<usize>, Bad> {
-        match self.header(CONTENT_LENGTH, "content-length") {
+        match self.header("content-length") {
             Some(length) => length.trim().parse().map(Some).map_err(|_| Bad::Request),
-            None if self.header(UNCODED, "transfer-encoding").is_some() => Ok(None),
+            None if self.header("transfer-encoding").is_some() => Ok(None),
             None => Ok(Some(0)),
         }
     }
@@ -178,15 +223,15 @@
             return Err(405);
         }
         let fields = Fields {
-            req: self.header(UNCODED, "op-req"),
-            ts: self.header(UNCODED, "op-ts"),
-            timeout_ms: self.header(UNCODED, "op-timeout-ms"),
-            owner: self.header(UNCODED, "op-owner"),
-            resent: self.header(UNCODED, "op-resent"),
-            work_ms: self.header(UNCODED, "op-work-ms"),
-            need_kb: self.header(UNCODED, "op-need-kb"),
-            op_key: self.header(UNCODED, "op-key"),
-            subject: self.header(UNCODED, "op-subject"),
+            req: self.header("op-req"),
+            ts: self.header("op-ts"),
+            timeout_ms: self.header("op-timeout-ms"),
+            owner: self.header("op-owner"),
+            resent: self.header("op-resent"),
+            work_ms: self.header("op-work-ms"),
+            need_kb: self.header("op-need-kb"),
+            op_key: self.header("op-key"),
+            subject: self.header("op-subject"),
             address: std::str::from_utf8(self.address).ok().and_then(|address| address.parse().ok()),
             ..Fields::default()
         };
@@ -210,8 +255,8 @@
         Self { status, headers: Vec::new(), body: Bytes::new() }
     }
 
-    fn of(reply: Reply) -> Self {
-        let mut response = match reply.answer {
+    fn to(answer: Answer, level: Option<f64>) -> Self {
+        let mut response = match answer {
             Answer::Served(body) => Self { status: 200, headers: Vec::new(), body },
             Answer::Failed => Self::new(500),
             Answer::Refused { stay_away_ms, last } => {
@@ -224,7 +269,7 @@
                 refusal
             }
         };
-        response.headers.extend(reply.level.map(|level| ("Op-Signal", format!("{level:.4}"))));
+        response.headers.extend(level.map(|level| ("Op-Signal", format!("{level:.4}"))));
         response
     }
 
@@ -345,7 +390,7 @@
 
     /// Reads a body to its end, asking for each chunk but the first of a body whose length is known.
     async fn body(&mut self, length: Option<usize>) -> Result<Bytes, Bad> {
-        let mut body = BytesMut::new();
+        let mut body = BytesMut::with_capacity(length.unwrap_or_default());
         let mut ask = length.is_none();
         while length.is_none_or(|length| body.len() < length) {
             if ask {
@@ -433,6 +478,9 @@
         reuse = false;
         Response::new(413)
     } else {
+        let Some(_reserved) = front.reserve_body(length) else {
+            return turn_away(link, front, &forward).await;
+        };
         let wait = front.options.body_wait_ms.map_or(SPEAKS_WITHIN, Duration::from_millis);
         let body = timeout(wait, link.body(length)).await.map_err(|_| Bad::Stalled)??;
         if forward.path() == front.options.health && !front.options.health.is_empty() {
@@ -449,6 +497,19 @@
     Ok(reuse)
 }
 
+/// Answers a request for whose body there is no memory, and whose body is not read. False, as the connection is to be closed.
+/// One with a key is failed: another try of it may have run, and a refusal would promise that none has.
+async fn turn_away(link: &mut Link, front: &Front, forward: &Forward<'_>) -> Result<bool, Bad> {
+    front.shared.exchange.send(Input::Anomaly(Anomaly::BodiesFull)).await;
+    let answer = match forward.header("op-key") {
+        Some(_) => Answer::Failed,
+        None => Answer::Refused { stay_away_ms: BODIES_FULL_STAY_AWAY_MS, last: false },
+    };
+    let level = front.shared.exchange.node_status().borrow().level;
+    link.write(&Response::to(answer, level).encode(forward.method, false)).await?;
+    Ok(false)
+}
+
 fn health(front: &Front) -> Response {
     let node_status = front.shared.exchange.node_status().borrow().clone();
     let mut response = Response::new(if node_status.healthy { 200 } else { 503 });
@@ -475,7 +536,7 @@
             biased;
             Some(reply) = replies.recv() => {
                 if reply.token == token {
-                    return Ok(Response::of(reply));
+                    return Ok(Response::to(reply.answer, reply.level));
                 }
             }
             () = link.given_up() => {
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -35,8 +35,10 @@
 const UNWRITTEN: usize = 64;
 /// Bytes that are read in one go.
 const READ_BYTES: usize = 4096;
-/// Answers that are encoded into one write.
+/// Answers that are taken in one go.
 const WRITE_BATCH: usize = 64;
+/// Bytes of encoded answers behind which they are written before further ones are encoded.
+const WRITE_BYTES: usize = 8 * 1024;
 /// How long a caller has to close a connection that was given back to it.
 const GIVE_BACK: Duration = Duration::from_secs(2);
 
@@ -302,7 +304,8 @@
     /// Writes answers, as many in one go as there are. Ends once no request can be answered any more, or once the
     /// connection is reset.
     async fn write(mut self) -> Result<(), Bad> {
-        let (mut replies, mut others, mut out) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut replies, mut others) = (Vec::new(), Vec::new());
+        let (mut out, mut slots) = (Vec::new(), Vec::new());
         let mut reading = true;
         loop {
             tokio::select! {
@@ -313,22 +316,36 @@
                     return Ok(());
                 },
             }
-            others.iter().for_each(|outgoing| self.put(&mut out, outgoing));
-            for reply in &replies {
+            for outgoing in others.drain(..) {
+                self.put(&mut out, &outgoing);
+                slots.push(outgoing);
+                if out.len() >= WRITE_BYTES {
+                    self.flush(&mut out, &mut slots).await?;
+                }
+            }
+            for reply in replies.drain(..) {
                 self.open.borrow_mut().remove(&reply.token);
-                put_reply(&mut out, reply);
+                put_reply(&mut out, &reply);
+                slots.push(Outgoing::Reply(reply));
+                if out.len() >= WRITE_BYTES {
+                    self.flush(&mut out, &mut slots).await?;
+                }
             }
-            timeout(WRITES_WITHIN, self.to.write_all(&out)).await.map_err(|_| Bad::Deaf)??;
-            // The places on the connection are free again.
-            replies.clear();
-            others.clear();
-            out.clear();
+            self.flush(&mut out, &mut slots).await?;
             if self.open.borrow().is_empty() {
                 self.seat.rest();
             }
         }
     }
 
+    /// Writes what is encoded. The places of these answers on the connection are free behind it.
+    async fn flush(&mut self, out: &mut Vec<u8>, written: &mut Vec<Outgoing>) -> Result<(), Bad> {
+        timeout(WRITES_WITHIN, self.to.write_all(out)).await.map_err(|_| Bad::Deaf)??;
+        written.clear();
+        out.clear();
+        Ok(())
+    }
+
     fn put(&self, out: &mut Vec<u8>, outgoing: &Outgoing) {
         match outgoing {
             Outgoing::Reply(reply) => put_reply(out, reply),
--- a/src/node.rs
+++ b/src/node.rs
@@ -640,7 +640,7 @@
         let listener = bind::tcp("AJP", options.listen).await?;
         info!("{} listens for AJP on {}", config.name, listener.local_addr()?);
         let connections = options.connections.map_or(most / 2, |set| set.min(most / 2));
-        let front = Rc::new(ajp::Front { shared: shared.clone(), options });
+        let front = Rc::new(ajp::Front::new(shared.clone(), options, config.memory_bytes));
         let connection = move |stream, seat| ajp::connection(stream, front.clone(), seat);
         let door = Door::own("AJP", listener);
         fronts.spawn_local(front::serve(door, front::room(connections), shared.clone(), connection));
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -1,4 +1,5 @@
-//! Clients that send at full speed what the node must not be hurt by.
+//! Clients that send at full speed, or by hundreds, what the node must not be hurt by: one that floods its connection, many
+//! that stop half way, many that never read.
 
 mod support;
 
@@ -10,9 +11,11 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::ajp::packet;
+use serde_json::json;
+use socket2::{Domain, SockAddr, Socket, Type};
+use support::ajp::{chunk, packet};
 use support::resp::{FrontEnd, array};
-use support::{Node, try_id};
+use support::{Node, config, settings, try_id};
 
 /// A client that writes the same bytes over and over, as fast as they are taken.
 struct Flood {
@@ -78,3 +81,96 @@
         assert!(asked.elapsed() < AIM, "request {tag} took {:?} beside the flood", asked.elapsed());
     }
 }
+
+/// A node with both fronts that may take so much memory.
+fn with_memory_mb(memory_mb: usize) -> Node {
+    let mut config = config(settings());
+    config["limits"]["memory_mb"] = json!(memory_mb);
+    let mut node = Node::launch_as(config, "");
+    node.processor.greet("warm");
+    node.reported("Ready");
+    node
+}
+
+/// A forwarded request that announces a large body behind very many short headers.
+fn head_of_many_headers(length: usize) -> Vec<u8> {
+    const HEADERS: usize = 2000;
+    let string = |text: &str| [&(text.len() as u16).to_be_bytes()[..], text.as_bytes(), &[0]].concat();
+    let mut payload = vec![2, 4];
+    for text in ["HTTP/1.1", "/v1/history", "127.0.0.1", "", "node"] {
+        payload.extend(string(text));
+    }
+    payload.extend([0, 80, 0]);
+    payload.extend((HEADERS as u16 + 1).to_be_bytes());
+    // A coded name with an absent value is the shortest header there is.
+    payload.extend([0xa0, 1, 0xff, 0xff].repeat(HEADERS));
+    payload.extend([&[0xa0, 8][..], &string(&length.to_string())].concat());
+    payload.push(0xff);
+    packet(&payload)
+}
+
+/// Guards against a process that is killed for its memory by many web servers that stop half way through large requests.
+#[rstest]
+fn many_that_stop_half_way_through_large_requests_stay_within_the_memory() {
+    const MEMORY_MB: usize = 48;
+    const CLIENTS: usize = 300;
+    let node = with_memory_mb(MEMORY_MB);
+    let mut half = head_of_many_headers(65_000);
+    for _ in 0..7 {
+        half.extend(chunk(&[b'x'; 8000]));
+    }
+    let mut clients: Vec<TcpStream> =
+        (0..CLIENTS).map(|_| TcpStream::connect(&node.ajp).expect("a connection")).collect();
+    for client in &mut clients {
+        // One that is turned away may be closed meanwhile.
+        let _ = client.write_all(&half);
+    }
+    let mut other = FrontEnd::connect(&node.resp);
+    for _ in 0..10 {
+        assert_eq!(other.answer_to_status().word, "healthy");
+    }
+    let peak_kb = node.peak_kb();
+    assert!(peak_kb < MEMORY_MB * 1024, "{peak_kb} kB of {MEMORY_MB} MB");
+}
+
+/// Guards against a process that is killed for its memory by many front ends that ask and never read.
+#[rstest]
+fn many_that_never_read_their_answers_stay_within_the_memory() {
+    const MEMORY_MB: usize = 64;
+    const CLIENTS: u64 = 300;
+    const ASKS: u64 = 1280;
+    let mut node = with_memory_mb(MEMORY_MB);
+    let mut first = FrontEnd::connect(&node.resp);
+    let keyed = ",opkey=same";
+    first.ask(1, "pay-session", &try_id(1), keyed, b"body");
+    let run = node.processor.begun();
+    node.processor.complete(&run, &[b'r'; 4096]);
+    assert_eq!(first.answer().word, "done");
+    let mut clients: Vec<FrontEnd> = (0..CLIENTS).map(|_| deaf_client(&node.resp)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        // All of them repeat one request, so that no run is needed for an answer.
+        client.stream.set_nonblocking(true).expect("an option");
+        let mut asked = Vec::new();
+        for tag in 1..=ASKS {
+            let fields = format!("req={},opkey=same", try_id((number as u64 + 1) * 100_000 + tag));
+            let tag = tag.to_string();
+            asked.extend(array(&[b"ASK", tag.as_bytes(), b"pay-session", fields.as_bytes(), b"body"]));
+        }
+        let _ = client.stream.write(&asked);
+    }
+    let mut other = FrontEnd::connect(&node.resp);
+    for _ in 0..50 {
+        assert_eq!(other.answer_to_status().word, "healthy");
+    }
+    let peak_kb = node.peak_kb();
+    assert!(peak_kb < MEMORY_MB * 1024, "{peak_kb} kB of {MEMORY_MB} MB");
+}
+
+/// A front end whose system takes hardly any answers for it.
+fn deaf_client(address: &str) -> FrontEnd {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("an option");
+    let address: std::net::SocketAddr = address.parse().expect("an address");
+    socket.connect(&SockAddr::from(address)).expect("a connection");
+    FrontEnd::over(socket.into()).expect("a connection")
+}
