--- a/src/logic/periodic.rs
+++ b/src/logic/periodic.rs
@@ -116,8 +116,8 @@
         self.send_load_signal(out);
     }
 
-    /// Has all requests due at `stop_at` at the latest, and refuses those that arrive after the grace. The first stop
-    /// counts.
+    /// Has all requests due at `stop_at` at the latest, and refuses those that arrive after the grace. The
+    /// first stop counts.
     pub(super) fn plan_stop(&mut self, stop_at: f64) {
         if self.planned_stop.is_some() {
             return;
