Look for the closed connection by both of its ports

A run of tests/races_fronts.rs beside four other files failed once at "the connection from port 41358 stays open": the test looked in the system's table for any connection from a port of that number, and another test's may have one, to or from another address. It now looks for the connection by both ports. That this was the cause follows from the code and the message and is not shown by a forced play.

--- a/tests/races_fronts.rs
+++ b/tests/races_fronts.rs
@@ -271,10 +271,13 @@
 /// keeps a copy of the socket for a while.
 fn leave(stream: TcpStream) {
     let port = stream.local_addr().expect("an address").port();
+    let other_port = stream.peer_addr().expect("an address").port();
     drop(stream);
     let is_open = |row: &str| {
         let columns: Vec<&str> = row.split_whitespace().collect();
-        matches!(columns[..], [_, local, _, "01", ..] if local.ends_with(&format!(":{port:04X}")))
+        let ends_at = |address: &str, port: u16| address.ends_with(&format!(":{port:04X}"));
+        // Others may have connections from a port of this number.
+        matches!(columns[..], [_, local, other, "01", ..] if ends_at(local, port) && ends_at(other, other_port))
     };
     let until = Instant::now() + PATIENCE;
     while std::fs::read_to_string("/proc/net/tcp").expect("a table").lines().any(is_open) {
