Run no request of a front end that has closed its connection without a reset

Callers saw: nothing themselves, as they had left; but up to 64 requests of each took permits and memory from others, also those that were held when their front end closed the connection.

Cause: the end of the other side's half alone says nothing of whether anybody reads the answers, so all that was read ahead of it was run.

Change: behind the end of the other side's half `0 closing` is written, with which nothing new can come there. A front end that has left answers with a reset, at which the connection ends and what is open on it is abandoned; the reading waits for it up to 10 ms, once for a connection. One that has closed its half alone gets its answers as before.

--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use self::wire::{Bad, Message, decode, frame, put_closing, put_reply, put_status};
-use super::closing::{has_unread, is_reset, linger, reset};
+use super::closing::{has_closed, has_unread, is_reset, linger, reset};
 use super::fairness::account_for;
 use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
@@ -41,6 +41,8 @@
 const WRITE_BYTES: usize = 8 * 1024;
 /// How long a caller has to close a connection that was given back to it.
 const GIVE_BACK: Duration = Duration::from_secs(2);
+/// How long the reset of a connection that is closed as a whole has to follow what is written on it.
+const RESET_WITHIN: Duration = Duration::from_millis(10);
 
 /// Requests by tag that are not answered.
 type Open = Rc<RefCell<HashMap<u64, RequestId>>>;
@@ -78,6 +80,7 @@
         open: open.clone(),
         buffer: BytesMut::new(),
         unfinished: Some(Instant::now()),
+        end_probed: false,
     };
     let mut writing = Box::pin(writer.write());
     let ended = tokio::select! {
@@ -128,6 +131,8 @@
     buffer: BytesMut,
     /// Since when a message is awaited: from the start the first one, later the rest of one.
     unfinished: Option<Instant>,
+    /// Whether something was written behind the end of the front end's half.
+    end_probed: bool,
 }
 
 impl Reader {
@@ -148,12 +153,16 @@
                 biased;
                 ready = self.from.readable() => {
                     ready?;
-                    if !self.fill()? {
-                        return if self.buffer.is_empty() { Ok(()) } else { Err(Bad::Unfinished) };
+                    let more = self.fill()?;
+                    if more || !self.at_rest() {
+                        self.probe_end().await;
                     }
                     if is_reset(self.from.as_ref()) {
                         return Err(Bad::Io(io::ErrorKind::ConnectionReset.into()));
                     }
+                    if !more {
+                        return if self.buffer.is_empty() { Ok(()) } else { Err(Bad::Unfinished) };
+                    }
                     last = Instant::now();
                     self.take_messages().await?;
                 }
@@ -197,6 +206,17 @@
         self.asks.available_permits() == OPEN && self.unwritten.available_permits() == UNWRITTEN
     }
 
+    /// Tells a front end that has left from one that has closed its half alone and goes on reading: what is written to
+    /// one that has left resets the connection. Writes the message that asks for nothing new, as nothing new can come.
+    async fn probe_end(&mut self) {
+        if self.end_probed || !has_closed(self.from.as_ref()) {
+            return;
+        }
+        self.end_probed = true;
+        self.give_back();
+        let _ = timeout(RESET_WITHIN, reset(self.from.as_ref())).await;
+    }
+
     /// Reads what is there. False at the end.
     fn fill(&mut self) -> io::Result<bool> {
         self.buffer.reserve(READ_BYTES);
--- a/tests/races_fronts.rs
+++ b/tests/races_fronts.rs
@@ -258,6 +258,14 @@
     assert_eq!((second.tag.as_str(), &second.body[..]), ("2", &b"other"[..]));
 }
 
+/// How long the node has to see that a front end has closed its connection: far less than its requests wait.
+const LEFT_WITHIN: Duration = Duration::from_secs(2);
+
+/// Requests of these numbers as they stand on the wire.
+fn requests(numbers: impl Iterator<Item = u64>) -> Vec<u8> {
+    numbers.flat_map(|number| request(number, "plate-check", &try_id(number), "")).collect()
+}
+
 /// Sends requests and leaves; no answer is read.
 fn send_and_leave(mut stream: TcpStream, requests: &[u8], reset: bool) {
     stream.write_all(requests).expect("a write");
@@ -294,24 +302,69 @@
     assert_eq!(node.processor.begun(), req);
 }
 
-/// Guards against runs of requests whose front end has reset the connection before they were read.
+/// Guards against runs of requests whose front end has reset or closed the connection before they were read.
 #[rstest]
 #[case::as_many_as_the_protocol_allows(32)]
 #[case::more_than_may_be_open(200)]
-fn requests_on_a_connection_that_was_reset_are_not_run(#[case] count: u64) {
+fn requests_on_a_connection_that_was_left_are_not_run(
+    #[case] count: u64,
+    #[values(true, false)] reset: bool,
+) {
     let mut node = Node::start();
     let mut front = FrontEnd::connect(&node.resp);
     assert_eq!(front.answer_to_status().word, "healthy");
-    let requests: Vec<u8> =
-        (1..=count).flat_map(|tag| request(tag, "plate-check", &try_id(tag), "")).collect();
     let stream = front.stream.try_clone().expect("a handle");
     drop(front);
     node.pause();
-    send_and_leave(stream, &requests, true);
+    send_and_leave(stream, &requests(1..=count), reset);
     node.resume();
     runs_first(&mut node, &try_id(9000));
 }
 
+/// Guards against runs of requests that were read and held when their front end closed the connection.
+#[rstest]
+fn requests_that_are_held_when_their_front_end_leaves_are_not_run() {
+    let mut node = Node::start_with(patient());
+    let mut running: Vec<FrontEnd> = (0..4).map(|_| FrontEnd::connect(&node.resp)).collect();
+    for (number, front) in (1..).zip(&mut running) {
+        front.ask(number, "plate-check", &try_id(number), "", b"body");
+        node.processor.begun();
+    }
+    let mut leaver = FrontEnd::connect(&node.resp);
+    assert_eq!(leaver.answer_to_status().word, "healthy");
+    let descriptors = node.descriptors();
+    leaver.stream.write_all(&requests(100..120)).expect("a write");
+    // Other connections are read meanwhile: so is this one.
+    (0..10).for_each(|_| drop(running[0].answer_to_status()));
+    let stream = leaver.stream.try_clone().expect("a handle");
+    drop(leaver);
+    leave(stream);
+    let until = Instant::now() + LEFT_WITHIN;
+    while node.descriptors() >= descriptors {
+        assert!(Instant::now() < until, "the node keeps a connection that its front end has closed");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    (1..=4).for_each(|number| node.processor.complete(&try_id(number), b"result"));
+    runs_first(&mut node, &try_id(9000));
+}
+
+/// Guards against requests that are dropped because their front end has closed its half alone.
+#[rstest]
+fn requests_ahead_of_the_end_of_their_front_ends_half_are_answered() {
+    let node = Node::start();
+    node.processor.automatic();
+    let mut front = FrontEnd::connect(&node.resp);
+    assert_eq!(front.answer_to_status().word, "healthy");
+    node.pause();
+    front.stream.write_all(&requests(1..=32)).expect("a write");
+    front.stream.shutdown(Shutdown::Write).expect("an end");
+    node.resume();
+    let mut answered: Vec<String> = (0..32).map(|_| front.answer().tag).collect();
+    answered.sort_by_key(|tag| tag.parse::<u64>().expect("a number"));
+    assert_eq!(answered, (1..=32).map(|tag: u64| tag.to_string()).collect::<Vec<_>>());
+    assert!(front.is_closed());
+}
+
 /// Guards against runs of requests whose web server has closed the connection before they were read.
 #[rstest]
 #[case::closed(false)]
