Answer a repeat at a full node also where one holder has missed the end of its run

Callers saw: a repeat that came to a node without room for it failed at once, though its run had ended and a majority of the holders had the result.

Cause: the lookup ahead of a refusal reads the key at a majority of the holders. Where one of these had the end and another had not, the end was taken for uncertain and the repeat failed. Whoever runs a key stops telling its end once a majority has it, so a holder that misses that lags until its slot moves.

Change: such a lookup proposes the end that it has seen again under a higher ballot, within its own time, and answers with what is accepted. Whatever comes of that, the key has run, and the repeat is never refused.

--- a/src/replication/machine.rs
+++ b/src/replication/machine.rs
@@ -77,6 +77,8 @@
     Claiming(Proposal),
     /// The key is not wished for: whether it is another one's is all that is asked.
     Asking(Proposal),
+    /// A run of the key has ended, as a holder tells: that is made certain, and the key is still not wished for.
+    Confirming(Proposal),
     /// Another one has it: its end is looked for, for the so-manieth time.
     Looking(Proposal, Claimant, u32),
     /// That one is gone: whatever holders have of it is made certain.
@@ -110,6 +112,7 @@
         match &mut self.stage {
             Stage::Claiming(proposal)
             | Stage::Asking(proposal)
+            | Stage::Confirming(proposal)
             | Stage::Looking(proposal, ..)
             | Stage::Settling(proposal)
             | Stage::Running(proposal)
@@ -368,6 +371,12 @@
         self.forget(number);
     }
 
+    /// Nobody can tell what has come of a run of the key.
+    fn in_doubt(&mut self, number: u64, out: &mut Vec<Out>) {
+        self.counts.doubts += 1;
+        self.tell_last(number, News::Doubt, out);
+    }
+
     fn wake_work(&mut self, number: u64, at: u64) {
         let Some(work) = self.works.get_mut(&number) else { return };
         self.timers.remove(&(work.next, number));
@@ -382,7 +391,7 @@
         let asks = work.proposal().asks(left_ms);
         let again = (AGAIN_MS << work.turn.min(3)).min(LONGEST_MS);
         work.turn += 1;
-        let claiming = matches!(work.stage, Stage::Claiming(_) | Stage::Asking(_));
+        let claiming = matches!(work.stage, Stage::Claiming(_) | Stage::Asking(_) | Stage::Confirming(_));
         let last = if claiming { work.claimed_by } else { work.window };
         let next = (now + again).min(last.max(now + 1));
         for (to, ask) in asks {
@@ -417,10 +426,8 @@
                 let news = if proposal.has_seen_another() { News::Doubt } else { News::Unreached };
                 self.tell_last(number, news, out);
             }
-            Stage::Looking(..) | Stage::Settling(_) if now >= work.shared_by => {
-                self.counts.doubts += 1;
-                self.tell_last(number, News::Doubt, out);
-            }
+            Stage::Confirming(_) if now >= work.claimed_by => self.in_doubt(number, out),
+            Stage::Looking(..) | Stage::Settling(_) if now >= work.shared_by => self.in_doubt(number, out),
             Stage::Ending(_) | Stage::Freeing(_) if now >= work.window => {
                 self.counts.uncopied += 1;
                 self.forget(number);
@@ -432,6 +439,7 @@
             }
             Stage::Claiming(_)
             | Stage::Asking(_)
+            | Stage::Confirming(_)
             | Stage::Settling(_)
             | Stage::Ending(_)
             | Stage::Freeing(_) => {
@@ -620,17 +628,21 @@
                 }
                 self.ask(now, number, out);
             }
-            (Stage::Settling(_), Verdict::Theirs(_)) => {
-                self.counts.doubts += 1;
-                self.tell_last(number, News::Doubt, out);
-            }
             (Stage::Asking(_), Verdict::Nobodys) => self.tell_last(number, News::Nobodys, out),
-            (Stage::Asking(_), Verdict::Theirs(_) | Verdict::Unsure) => {
-                self.counts.doubts += 1;
-                self.tell_last(number, News::Doubt, out);
+            (Stage::Asking(_), Verdict::Unsure) => {
+                let proposal = self.propose(key, me, body, Wish::Settle, rng);
+                if let Some(work) = self.works.get_mut(&number) {
+                    (work.stage, work.turn) = (Stage::Confirming(proposal), 0);
+                }
+                self.ask(now, number, out);
             }
+            (Stage::Asking(_) | Stage::Settling(_), Verdict::Theirs(_)) => self.in_doubt(number, out),
             (
-                Stage::Claiming(_) | Stage::Asking(_) | Stage::Settling(_) | Stage::Looking(..),
+                Stage::Claiming(_)
+                | Stage::Asking(_)
+                | Stage::Confirming(_)
+                | Stage::Settling(_)
+                | Stage::Looking(..),
                 Verdict::Ended(value),
             ) => {
                 self.counts.shared += 1;
@@ -641,6 +653,8 @@
                 };
                 self.tell_last(number, news, out);
             }
+            // The key has run, whatever holders still have of that.
+            (Stage::Confirming(_), _) => self.in_doubt(number, out),
             (Stage::Ending(_), Verdict::Ended(_)) => {
                 self.counts.copied += 1;
                 self.tell_last(number, News::Copied, out);
--- a/tests/copies_rules.rs
+++ b/tests/copies_rules.rs
@@ -274,6 +274,34 @@
     assert_eq!(done, 10, "{:?}", world.seen);
 }
 
+/// Guards against a repeat that fails at a busy node where one holder of three has missed the end of its run.
+#[rstest]
+fn a_repeat_at_a_busy_node_gets_a_result_that_one_holder_has_missed() {
+    const NODES: usize = 6;
+    let mut world = World::new(6, NODES, 3);
+    for missing in 1..NODES {
+        let key = missing as u64;
+        world.ask(0, key);
+        let began = |world: &World| {
+            world.seen.iter().any(|seen| matches!(seen, Seen::Began { key: begun, .. } if *begun == key))
+        };
+        while !began(&world) {
+            world.run_for(1);
+        }
+        let others = (0..NODES).filter(|n| *n != missing);
+        world.cut = others.flat_map(|n| [(n, missing), (missing, n)]).collect();
+        world.run_for(400);
+        world.cut.clear();
+        for _ in 0..10 {
+            (0..NODES).for_each(|n| world.ask_busy(n, key));
+            world.run_for(100);
+        }
+    }
+    assert_eq!(judge(&world.seen), []);
+    let not_done = world.seen.iter().filter(|seen| !matches!(seen, Seen::Done { .. } | Seen::Began { .. }));
+    assert_eq!(not_done.collect::<Vec<_>>(), [] as [&Seen; 0]);
+}
+
 #[rstest]
 fn what_a_lost_machine_held_is_copied_again_and_its_claims_are_in_doubt() {
     let mut world = World::new(2, 7, 3);
