Read no body of a web server that lacks the secret on AJP

Callers saw: where the operator has set a secret, web servers without it could take all the memory that bodies have, by stopping half way, and others with a body were turned away (503, keyed ones 500).

Cause: the memory was reserved, and the body read, before the secret was compared.

Change: a request without the secret gets 403 at once; where it has a body, that is left unread and the connection is closed behind the answer. A health check without a body still needs none.

--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -59,6 +59,16 @@
         Self { shared, options, bodies: Semaphore::new(permits.min(Semaphore::MAX_PERMITS)) }
     }
 
+    /// Whether a request comes from a web server that knows the operator's secret, where there is one.
+    fn is_trusted(&self, forward: &Forward<'_>) -> bool {
+        let secret = self.options.secret.as_deref().map(str::as_bytes);
+        secret.is_none() || secret == forward.secret
+    }
+
+    fn is_health(&self, forward: &Forward<'_>) -> bool {
+        !self.options.health.is_empty() && forward.path() == self.options.health
+    }
+
     /// Reserves memory for a body of this length; one of unknown length may become as long as is taken. None where there is
     /// no more.
     fn reserve_body(&self, length: Option<usize>) -> Option<SemaphorePermit<'_>> {
@@ -215,10 +225,6 @@
 
     /// The request in the core's terms; else the status that answers it.
     fn ask(&self, front: &Front, body: Bytes) -> Result<IncomingRequest, u16> {
-        if front.options.secret.is_some() && front.options.secret.as_deref().map(str::as_bytes) != self.secret
-        {
-            return Err(403);
-        }
         if !matches!(self.method, GET | HEAD | POST) {
             return Err(405);
         }
@@ -477,13 +483,16 @@
     let response = if length.is_some_and(|length| length > BODY_BYTES) {
         reuse = false;
         Response::new(413)
+    } else if !front.is_trusted(&forward) && !(front.is_health(&forward) && length == Some(0)) {
+        reuse &= length == Some(0);
+        Response::new(403)
     } else {
         let Some(_reserved) = front.reserve_body(length) else {
             return turn_away(link, front, &forward).await;
         };
         let wait = front.options.body_wait_ms.map_or(SPEAKS_WITHIN, Duration::from_millis);
         let body = timeout(wait, link.body(length)).await.map_err(|_| Bad::Stalled)??;
-        if forward.path() == front.options.health && !front.options.health.is_empty() {
+        if front.is_health(&forward) {
             health(front)
         } else {
             match forward.ask(front, body) {
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -13,9 +13,9 @@
 use rstest::rstest;
 use serde_json::json;
 use socket2::{Domain, SockAddr, Socket, Type};
-use support::ajp::{chunk, packet};
+use support::ajp::{WebServer, chunk, packet};
 use support::resp::{FrontEnd, array};
-use support::{Node, config, settings, try_id};
+use support::{Node, config, settings, try_id, unix_ms};
 
 /// A client that writes the same bytes over and over, as fast as they are taken.
 struct Flood {
@@ -84,9 +84,14 @@
 
 /// A node with both fronts that may take so much memory.
 fn with_memory_mb(memory_mb: usize) -> Node {
+    with_memory_and(memory_mb, "")
+}
+
+/// The same with more in the operator's table for AJP.
+fn with_memory_and(memory_mb: usize, more: &str) -> Node {
     let mut config = config(settings());
     config["limits"]["memory_mb"] = json!(memory_mb);
-    let mut node = Node::launch_as(config, "");
+    let mut node = Node::launch_as(config, more);
     node.processor.greet("warm");
     node.reported("Ready");
     node
@@ -133,6 +138,30 @@
     assert!(peak_kb < MEMORY_MB * 1024, "{peak_kb} kB of {MEMORY_MB} MB");
 }
 
+/// Guards against web servers that are turned away while others, which don't know the secret, have the memory for bodies.
+#[rstest]
+fn many_without_the_secret_take_no_memory_for_bodies() {
+    const MEMORY_MB: usize = 48;
+    const STRANGERS: usize = 200;
+    let node = with_memory_and(MEMORY_MB, "secret = \"hush\"\n");
+    node.processor.automatic();
+    let mut half = head_of_many_headers(65_000);
+    half.extend(chunk(&[b'x'; 8000]));
+    let mut strangers: Vec<TcpStream> =
+        (0..STRANGERS).map(|_| TcpStream::connect(&node.ajp).expect("a connection")).collect();
+    for stranger in &mut strangers {
+        stranger.write_all(&half).expect("a write");
+    }
+    let mut other = FrontEnd::connect(&node.resp);
+    for _ in 0..10 {
+        assert_eq!(other.answer_to_status().word, "healthy");
+    }
+    let mut server = WebServer::connect(&node.ajp);
+    let (req, ts) = (try_id(1), unix_ms().to_string());
+    server.ask("plate-check", &[("Op-Req", &req), ("Op-Ts", &ts)], &[b'x'; 8000]);
+    assert_eq!(server.response().status, 200);
+}
+
 /// Guards against a process that is killed for its memory by many front ends that ask and never read.
 #[rstest]
 fn many_that_never_read_their_answers_stay_within_the_memory() {
