--- a/tests/installed/soak.rs
+++ b/tests/installed/soak.rs
@@ -29,12 +29,14 @@
         day
     }));
     let (kept, came) = match day {
-        Ok(Day { served, refused, failed, verdict, .. }) => {
+        Ok(Day { served, refused, failed, stood_ms, verdict, .. }) => {
             let said = match &verdict {
                 Ok(()) => "kept".to_owned(),
                 Err((rule, by)) => format!("BROKEN {rule:?} by {by}"),
             };
-            (verdict.is_ok(), format!("served {served} shed {refused} failed {failed}: {said}"))
+            let counts =
+                format!("served {served} shed {refused} failed {failed} stood still {stood_ms:.0} ms");
+            (verdict.is_ok(), format!("{counts}: {said}"))
         }
         Err(_) => (false, "NOT PLAYED: a stand-in has died, see above".to_owned()),
     };
--- a/tests/installed/verdict.rs
+++ b/tests/installed/verdict.rs
@@ -27,7 +27,8 @@
         let (served, refused) = (answered("done"), answered("later"));
         let failed = answered("error");
         let (after, least) = (self.served_after(start), self.served_at_the_least(start));
-        Day { served, refused, failed, begun: self.count(begun), after, least, verdict }
+        let (begun, stood_ms) = (self.count(begun), self.stood_ms);
+        Day { served, refused, failed, begun, after, least, stood_ms, verdict }
     }
 
     /// When requests were answered with a result, of the classes that recovery is judged by.
--- a/tests/installed/world.rs
+++ b/tests/installed/world.rs
@@ -140,6 +140,8 @@
     /// Served for each ms, behind all faults and in the poorest time of that length.
     pub after: f64,
     pub least: f64,
+    /// The longest that the stand-ins stood still, in ms: what is seen late by twice that is held against nobody.
+    pub stood_ms: f64,
     pub verdict: Result<(), (Broken, String)>,
 }
 
