Wait until a node has kept that it belongs before the fleet's test kills it

Cause: the test of one dead of sixty kills a node once all see it belong and asks for the line that its first life was declared lost, which the node can only tell where its file has that it belonged. The file is written 200 ms behind the view and synced, and the test did not wait for it.

Change: the test waits until the file names the node. What is asserted is the same.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -31,6 +31,8 @@
 fn one_dead_of_sixty_is_known_to_all_and_declared_lost_by_an_operator() {
     let mut rig = Rig::new(60);
     rig.fleet(60);
+    // Its file is written behind the view: what it has not kept it doesn't know at its next start.
+    until("it has kept that it belongs", PATIENCE, || rig.has_kept(41));
     rig.kill(41);
     let left: Vec<usize> = all(60).into_iter().filter(|n| *n != 41).collect();
     until("all know", PATIENCE * 2, || rig.hold_dead(&left, 41) == 59);
--- a/tests/rig/fleet.rs
+++ b/tests/rig/fleet.rs
@@ -45,6 +45,12 @@
         until("all belong", PATIENCE * 2, || self.all_see(&all, count))
     }
 
+    /// Whether the file of a node has it among those that belong.
+    pub fn has_kept(&self, n: usize) -> bool {
+        let file = self.dir.join(format!("fleet-{n}")).join("fleet.json");
+        std::fs::read_to_string(file).is_ok_and(|text| text.contains(&format!("\"n{n}\"")))
+    }
+
     /// Whether each of these knows that so many belong, itself among them.
     pub fn all_see(&self, these: &[usize], count: usize) -> bool {
         these.iter().all(|n| {
