Have the process that serves decide on standby, wherever the call is made

POST /active there was undone as well; a call at the old process behind the hand-over changed nobody's checks; standby was forgotten where the process that serves was killed beside one that waits.

Cause: each process kept a standby of its own. The hand-over replaced that of the next process by that of the one before, so the newest call lost.

Change: the process that serves alone applies changes of operators (exchange::Role). The others forward them to it over a Unix socket of the node's folder and say yes only once it has applied them; where none has within 0.8 s, the answer is 503. A change that crosses a hand-over is tried again at the next process. Those that do not serve follow the state, for the case that the one that serves ends without a word. A waiting process is ready also on standby, so that such a node can be upgraded. The messages of the hand-over are as they were.

Why it works: there is one copy at a time that can change, and the hand-over carries that one.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{debug, info};
+use log::debug;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::time::{DelayQueue, delay_queue};
 
@@ -81,9 +81,8 @@
     pub(super) grace_ends: f64,
     /// When every open request must have been answered, because the process is stopped; infinite unless a stop is due.
     pub(super) stop_at: f64,
-    /// Whether the decision module wants traffic, and whether the operator has requested maintenance.
+    /// Whether the decision module wants traffic.
     pub(super) wants_traffic: bool,
-    pub(super) maintenance: bool,
     /// The channel to the next process of this node, from the hand-over of the keys on.
     pub(super) successor: Option<mpsc::UnboundedSender<HandoverMessage>>,
     /// The resource use of this process that was last reported to the next one.
@@ -138,7 +137,6 @@
             grace_ends: f64::INFINITY,
             stop_at: f64::INFINITY,
             wants_traffic: false,
-            maintenance: false,
             successor: None,
             reported_resources: PredecessorResources::default(),
             predecessor_resources: PredecessorResources::default(),
@@ -213,15 +211,9 @@
             Input::PredecessorEnded => self.predecessor_ended(),
             Input::Finish(finished) => self.finished = Some(finished),
             Input::ApplySettings(site) => self.apply_settings(*site),
-            Input::Maintenance(requested) => {
-                self.maintenance = requested;
-                self.update_status();
-            }
-            Input::Standby(requested) => {
-                info!("standby {}", if requested { "on" } else { "off" });
-                self.node_status.standby = requested;
-                self.update_status();
-            }
+            Input::AwaitTurn => self.await_turn(),
+            Input::ChangeOperatorState { change, reply } => self.change_operator_state(change, reply),
+            Input::FollowOperator(state) => self.follow_operator_state(state),
             Input::Drain { stop_in_ms } => self.drain(stop_in_ms),
         }
     }
--- a/src/exchange/lifecycle.rs
+++ b/src/exchange/lifecycle.rs
@@ -8,6 +8,7 @@
 use super::catalog::Catalog;
 use super::core::Exchange;
 use super::entry::Timer;
+use super::operator_state::Role;
 use super::time::span;
 use crate::config::Site;
 use crate::interface::Event;
@@ -115,10 +116,14 @@
 
     /// Updates whether the node reports itself healthy and ready.
     pub(super) fn update_status(&mut self) {
-        let away_requested = self.maintenance || self.node_status.standby;
+        let away_requested = self.node_status.operator.is_away();
         self.node_status.healthy = self.wants_traffic && !away_requested;
-        self.node_status.ready =
-            self.processor_is_up && !self.draining && self.successor.is_none() && !away_requested;
+        let may_serve = match self.node_status.role {
+            Role::Waiting => true,
+            Role::Serving => !away_requested,
+            Role::HandedOver => false,
+        };
+        self.node_status.ready = self.processor_is_up && !self.draining && may_serve;
     }
 
     /// Handles a processor that has connected, `age_ms` after its start, which tells how far it has warmed up. On the
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -13,6 +13,7 @@
 mod inquiry;
 mod intake;
 mod lifecycle;
+mod operator_state;
 mod receipts;
 mod runs;
 mod succession;
@@ -36,6 +37,7 @@
 pub use catalog::Catalog;
 pub use claims::ReplicationChannel;
 pub use handed::{HandedOverKey, HandedOverState, HandoverMessage, PredecessorResources, StartServing};
+pub use operator_state::{OperatorChange, OperatorReply, OperatorState, Role};
 pub use types::{
     Anomaly, Answer, Call, Command, IncomingRequest, Input, NodeStatus, Origin, Reply, ReplyTo, TryId,
 };
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -9,6 +9,7 @@
 use super::handed::{HandedOverKey, HandedOverState, HandoverMessage, PredecessorResources, StartServing};
 use super::idempotency::{Key, KeyState};
 use super::next_request_id;
+use super::operator_state::{OperatorState, Role};
 use super::runs::repeat_window_ms;
 use super::time::span;
 use crate::interface::RequestId;
@@ -44,17 +45,32 @@
 }
 
 impl Exchange {
+    /// Waits for the turn of this process.
+    pub(super) fn await_turn(&mut self) {
+        self.node_status.role = Role::Waiting;
+        self.update_status();
+    }
+
+    /// Begins the turn of this process, where it has waited for it.
+    fn start_serving(&mut self) {
+        if self.node_status.role == Role::Waiting {
+            self.node_status.role = Role::Serving;
+        }
+        self.update_status();
+    }
+
     /// Sends all keys to the next process and tells it to serve from now on.
     pub(super) fn hand_over(&mut self, successor: mpsc::UnboundedSender<HandoverMessage>) {
         info!("handing over with {} requests open", self.entries.len());
         self.successor = Some(successor);
+        self.node_status.role = Role::HandedOver;
         let keys: Vec<Key> = self.idempotency.operations().cloned().collect();
         keys.iter().for_each(|key| self.hand_over_key(key));
         self.send_to_successor(HandoverMessage::StartServing(StartServing {
             seed: self.idempotency.seed(),
             resources: self.resources(),
-            standby: self.node_status.standby,
-            maintenance: self.maintenance,
+            standby: self.node_status.operator.standby,
+            maintenance: self.node_status.operator.maintenance,
         }));
         self.update_status();
     }
@@ -122,9 +138,9 @@
                 self.idempotency.set_seed(start.seed);
                 self.predecessor_resources = start.resources;
                 self.reserve_predecessor_resources();
-                self.node_status.standby = start.standby;
-                self.maintenance = start.maintenance;
-                self.update_status();
+                let StartServing { standby, maintenance, .. } = start;
+                self.node_status.operator = OperatorState { standby, maintenance };
+                self.start_serving();
             }
             HandoverMessage::Resources(resources) => {
                 self.predecessor_resources = resources;
@@ -184,6 +200,7 @@
     /// left on the processor go on: their resources are released as the gauges show that they have ended. Its calls
     /// were given up with its connections, but may still be running at the dependency.
     pub(super) fn predecessor_ended(&mut self) {
+        self.start_serving();
         let PredecessorResources { booked_kb, runs, calls } = std::mem::take(&mut self.predecessor_resources);
         self.controller.add_lingering_calls(self.clock.now(), calls);
         if runs > 0 {
--- a/src/exchange/types.rs
+++ b/src/exchange/types.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::handed::HandoverMessage;
+use super::operator_state::{OperatorChange, OperatorReply, OperatorState, Role};
 use crate::config::Site;
 use crate::interface::{Outcome, RequestId};
 use crate::replication::News;
@@ -300,10 +301,17 @@
     Finish(oneshot::Sender<()>),
     /// Apply new settings.
     ApplySettings(Box<Site>),
-    /// Whether the operator has put the node into maintenance in the store, so that it should get no traffic.
-    Maintenance(bool),
-    /// Whether the operator has put the node into standby over the admin interface.
-    Standby(bool),
+    /// A process that waits for its turn behind the serving one.
+    AwaitTurn,
+    /// Change what operators have asked of the node: over the admin interface of one of its processes, or in the store.
+    ChangeOperatorState {
+        /// The change.
+        change: OperatorChange,
+        /// Told what became of it.
+        reply: oneshot::Sender<OperatorReply>,
+    },
+    /// What operators have asked of the node, from its serving process.
+    FollowOperator(OperatorState),
     /// Drain the node: the process will be stopped soon.
     Drain {
         /// Time until the process is stopped, in ms.
@@ -387,10 +395,13 @@
 pub struct NodeStatus {
     /// Whether the node wants traffic.
     pub healthy: bool,
-    /// Whether the processor is up and neither a drain, a hand-over, maintenance nor standby keeps clients away.
+    /// Whether the processor is up and neither a drain, a hand-over, maintenance nor standby keeps clients away. A
+    /// process that waits for its turn is ready once its processor is up: a node on standby can be upgraded.
     pub ready: bool,
-    /// Whether the operator has put the node into standby over the admin interface.
-    pub standby: bool,
+    /// The place of this process among the processes of the node.
+    pub role: Role,
+    /// What operators have asked of the node.
+    pub operator: OperatorState,
     /// The current load signal, if there is one.
     pub level: Option<f64>,
     /// Connections that are idle for this many ms are closed; `None` means never.
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -15,9 +15,9 @@
 use winnow::token::{take_till, take_while};
 use winnow::{ModalResult, Parser, Partial};
 
-use super::Shared;
 use super::table::{Room, Seat};
-use crate::exchange::{Handle, Input};
+use crate::exchange::OperatorChange;
+use crate::handover::operator::OperatorCalls;
 use crate::net::stream::Uninterrupted;
 
 /// Operators are few: when all places are taken, the one that has been silent for longest leaves.
@@ -30,7 +30,7 @@
 /// A caller that has not made its call by then is closed; so is one that does not close after its answer.
 const SPEAKS_WITHIN: Duration = Duration::from_secs(2);
 const CLOSES_WITHIN: Duration = Duration::from_millis(500);
-/// How long a wish may take to be in force before the caller is told that it is not.
+/// How long a call may take to be in force before the caller is told that it is not.
 const OBEYS_WITHIN: Duration = Duration::from_millis(800);
 
 /// Why a connection ends without an answer.
@@ -103,20 +103,24 @@
 }
 
 /// Serves one connection: one call, one answer.
-pub async fn connection(stream: TcpStream, shared: Rc<Shared>, seat: Seat) {
-    if let Err(bad) = serve(Uninterrupted::new(stream), &shared.exchange, seat).await {
+pub async fn connection(stream: TcpStream, operators: Rc<OperatorCalls>, seat: Seat) {
+    if let Err(bad) = serve(Uninterrupted::new(stream), &operators, seat).await {
         debug!("an operator's connection is closed: {bad}");
     }
 }
 
-async fn serve(mut stream: Uninterrupted<TcpStream>, exchange: &Handle, seat: Seat) -> Result<(), Bad> {
+async fn serve(
+    mut stream: Uninterrupted<TcpStream>,
+    operators: &OperatorCalls,
+    seat: Seat,
+) -> Result<(), Bad> {
     let called = tokio::select! {
         read = timeout(SPEAKS_WITHIN, read(&mut stream)) => read.map_err(|_| Bad::Silent)??,
         () = seat.lost() => return Err(Bad::Silent),
     };
     seat.work();
     let (status, header, text) = match called {
-        Ok(call) => answer(call, exchange).await,
+        Ok(call) => answer(call, operators).await,
         Err(refusal) => refusal.answer(),
     };
     let reply = format!(
@@ -151,15 +155,10 @@
     tokio::io::copy(&mut stream.take(BODY_BYTES as u64), &mut tokio::io::sink()).await
 }
 
-async fn answer(call: Call, exchange: &Handle) -> Answer {
-    let mut node_status = exchange.node_status();
+async fn answer(call: Call, operators: &OperatorCalls) -> Answer {
     let done = match call {
-        Call::Status => node_status.borrow().ready,
-        Call::Standby(wished) => {
-            exchange.send(Input::Standby(wished)).await;
-            let obeyed = node_status.wait_for(|node_status| node_status.standby == wished);
-            matches!(timeout(OBEYS_WITHIN, obeyed).await, Ok(Ok(_)))
-        }
+        Call::Status => operators.is_ready(),
+        Call::Standby(requested) => operators.change(OperatorChange::Standby(requested), OBEYS_WITHIN).await,
     };
     match (call, done) {
         (Call::Status, true) => ("200 OK", String::new(), "ready"),
--- a/src/handover.rs
+++ b/src/handover/mod.rs
@@ -1,10 +1,12 @@
 //! From one process of a node to the next, while the platform holds the clients' socket: the next one waits at a
 //! Unix socket in the node's own folder until the one that serves is told to go.
 
+pub mod operator;
+
 use std::cell::RefCell;
 use std::fs::File;
 use std::io::{self, ErrorKind};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -54,7 +56,8 @@
     }
 }
 
-fn path(name: &str) -> PathBuf {
+/// The path of the socket at which the next processes of a node wait.
+fn socket_path(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("sillflow-{name}.sock"))
 }
 
@@ -74,10 +77,10 @@
 pub async fn place(name: &str) -> io::Result<Place> {
     let _locked = lock_or_warn(name).await;
     loop {
-        match UnixStream::connect(path(name)).await.map_err(|problem| (problem.kind(), problem)) {
+        match UnixStream::connect(socket_path(name)).await.map_err(|problem| (problem.kind(), problem)) {
             Ok(stream) => return Ok(Place::Behind(stream)),
             Err((ErrorKind::NotFound | ErrorKind::ConnectionRefused, _)) => {
-                return listener(name).map(Place::First);
+                return listener(&socket_path(name)).map(Place::First);
             }
             // Somebody listens, and has not accepted those that came before; or has ended just as it was asked, which
             // is no reason to serve beside the one that comes next.
@@ -91,7 +94,7 @@
 
 /// The lock on the socket's path, until it is dropped. It is held for a moment at a time, so it is waited for.
 async fn lock(name: &str) -> io::Result<File> {
-    let file = File::create(path(name).with_extension("lock"))?;
+    let file = File::create(socket_path(name).with_extension("lock"))?;
     loop {
         match flock(&file, FlockOperation::NonBlockingLockExclusive) {
             Ok(()) => return Ok(file),
@@ -106,12 +109,11 @@
     lock(name).await.inspect_err(|problem| warn!("the place of a process cannot be locked: {problem}")).ok()
 }
 
-fn listener(name: &str) -> io::Result<UnixListener> {
-    let path = path(name);
+fn listener(path: &Path) -> io::Result<UnixListener> {
     // It is of no use any more: who served there has ended or is about to.
-    match std::fs::remove_file(&path) {
+    match std::fs::remove_file(path) {
         Err(problem) if problem.kind() != ErrorKind::NotFound => Err(problem),
-        _ => UnixListener::bind(&path),
+        _ => UnixListener::bind(path),
     }
 }
 
@@ -205,7 +207,7 @@
     /// The socket cannot be had.
     pub async fn listen(&self, name: &str) -> io::Result<()> {
         let _locked = lock_or_warn(name).await;
-        self.wait_at(listener(name)?);
+        self.wait_at(listener(&socket_path(name))?);
         Ok(())
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,11 +24,12 @@
 use crate::ejection;
 use crate::ejection::coordinator::Policy as EjectionPolicy;
 use crate::ejection::list::Shares;
-use crate::exchange::{self, Handle, HandoverMessage, Input, ReplicationChannel};
+use crate::exchange::{self, Handle, HandoverMessage, Input, OperatorChange, ReplicationChannel};
 use crate::fleet;
 use crate::fleet::copying::Part;
 use crate::fleet::view::View;
 use crate::front::{self, Door, Shared, ajp, resp};
+use crate::handover::operator::OperatorCalls;
 use crate::handover::{self, Place, Said, Successor};
 use crate::inherited_listener;
 use crate::interface::{RequestId, SettingsError};
@@ -58,6 +59,9 @@
 /// How long before it the session of its duties has gone to the next process.
 const PASS_MARGIN: Duration = Duration::from_millis(50);
 
+/// How long a change of maintenance is waited for before it is logged and tried again.
+const MAINTENANCE_RETRY: Duration = Duration::from_secs(1);
+
 /// Why a node cannot run.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -139,6 +143,10 @@
     };
     spawn_local(follow_file(hangup, config.clone(), handle.clone(), turning));
     let successor = Successor::default();
+    let operators = match config.inherited {
+        Some(_) => OperatorCalls::among_processes(&config.name, handle.clone()),
+        None => OperatorCalls::of_single_process(handle.clone()),
+    };
     let Succession { alone, turn, session } = succeed(&config, &handle, &successor).await;
     let (on_its_own, is_alone) = watch::channel(false);
     let mut duties = None;
@@ -167,8 +175,9 @@
         duties = ends;
     }
     if let Some(admin) = config.admin {
-        admit_operators(&config, admin, handle.clone()).await?;
+        admit_operators(&config, admin, &handle, operators.clone()).await?;
     }
+    spawn_local(operators.clone().follow());
     let told_turn = tokio::select! {
         turn = turn => turn.is_ok(),
         _ = terminate.recv() => return Ok(()),
@@ -181,6 +190,9 @@
     {
         warn!("no process can take over from this one: {problem}");
     }
+    if let Err(problem) = operators.listen(&config.name).await {
+        warn!("other processes of this node cannot forward calls of operators: {problem}");
+    }
     let donors = &config.operator.knowledge.donors;
     if let Some(routes) = routes.clone().filter(|_| !donors.is_empty()) {
         spawn_local(learn(config.operator.knowledge.clone(), routes));
@@ -190,7 +202,8 @@
     let shared = Shared::new(handle.clone(), closing.clone());
     let succeeded = shared.clone();
     shared.halved.set(!alone.is_finished());
-    spawn_local(settle_in(alone, on_its_own, config.clone(), published, routes, shared.clone()));
+    let settling = settle_in(alone, on_its_own, config.clone(), published, routes, shared.clone(), operators);
+    spawn_local(settling);
     let fronts = fronts(&config, listener, shared).await?;
     tokio::select! {
         _ = terminate.recv() => {}
@@ -407,6 +420,7 @@
     };
     let alone = match place {
         Ok(Place::Behind(before)) => {
+            exchange.send(Input::AwaitTurn).await;
             let (name, successor, exchange) = (config.name.clone(), successor.clone(), exchange.clone());
             spawn_local(handover::follow(name, before, successor, exchange, begin, pass))
         }
@@ -443,6 +457,7 @@
     published: watch::Receiver<String>,
     routes: Option<Rc<Routes>>,
     shared: Rc<Shared>,
+    operators: OperatorCalls,
 ) {
     if !alone.is_finished() {
         let _ = alone.await;
@@ -460,9 +475,7 @@
         return;
     }
     match store::start(&name, operator.store, published) {
-        Ok(contents) => {
-            follow_operator(format!("state/{name}/maintenance"), contents, shared.exchange.clone()).await;
-        }
+        Ok(contents) => follow_operator(format!("state/{name}/maintenance"), contents, operators).await,
         Err(problem) => error!("the store cannot run: {problem}"),
     }
 }
@@ -480,13 +493,18 @@
 }
 
 /// Opens the operators' door, which stays open to the end.
-async fn admit_operators(config: &Config, admin: SocketAddr, exchange: Handle) -> Result<(), NodeError> {
+async fn admit_operators(
+    config: &Config,
+    admin: SocketAddr,
+    exchange: &Handle,
+    operators: OperatorCalls,
+) -> Result<(), NodeError> {
     let listener = bind::tcp("operators", admin).await?;
     let most = Descriptors::of(config.sockets).operators;
     info!("{} listens for operators on {}", config.name, listener.local_addr()?);
-    let shared = Shared::new(exchange, CancellationToken::new());
-    let of_all = shared.clone();
-    let connection = move |stream, seat| front::admin::connection(stream, of_all.clone(), seat);
+    let shared = Shared::new(exchange.clone(), CancellationToken::new());
+    let operators = Rc::new(operators);
+    let connection = move |stream, seat| front::admin::connection(stream, operators.clone(), seat);
     let door = Door::own("operators", listener);
     spawn_local(front::serve(door, front::admin::room(most), shared, connection));
     Ok(())
@@ -609,7 +627,7 @@
 
 /// Carries the operator's wish from the store to the exchange: a node in maintenance serves, yet asks for no
 /// traffic.
-async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, exchange: Handle) {
+async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, operators: OperatorCalls) {
     let mut known = false;
     loop {
         let wished = {
@@ -618,8 +636,7 @@
             if contents.applied().is_some() { contents.get(&key) == Some("on") } else { known }
         };
         if wished != known {
-            info!("maintenance {}", if wished { "on" } else { "off" });
-            exchange.send(Input::Maintenance(wished)).await;
+            while !operators.change(OperatorChange::Maintenance(wished), MAINTENANCE_RETRY).await {}
             known = wished;
         }
         if contents.changed().await.is_err() {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -31,6 +31,19 @@
     (node, front)
 }
 
+/// What the platform hears on a new connection that asks for health, within the time that it gives a drain.
+fn becomes(address: &str, word: &str) -> bool {
+    const DRAINS_WITHIN: Duration = Duration::from_secs(4);
+    let until = Instant::now() + DRAINS_WITHIN;
+    while Instant::now() < until {
+        if FrontEnd::connect(address).answer_to_status().word == word {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
 /// A further process that is ready and waits for its turn.
 fn waiting(old: &mut Node) -> Node {
     let mut new = old.successor();
@@ -283,6 +296,127 @@
     new.reported("Ready");
 }
 
+/// Guards against a hand-over that undoes what an operator has asked of the process that waits (`review/10`).
+#[rstest]
+#[case::standby("/active", "/standby", "sick")]
+#[case::active("/standby", "/active", "healthy")]
+fn what_the_next_process_is_called_to_holds_at_once_and_in_its_turn(
+    #[case] before: &str,
+    #[case] called: &str,
+    #[case] word: &str,
+) {
+    let (mut old, _front) = held();
+    let new = waiting(&mut old);
+    assert_eq!(old.call("POST", before), 200);
+    assert_eq!(new.call("POST", called), 200);
+    assert!(becomes(&old.resp, word), "the process that serves is the one that is asked");
+    assert_eq!(new.call("GET", "/status"), 200, "it can take over all the same");
+    old.terminate();
+    assert!(old.ended().success());
+    assert!(becomes(&new.resp, word));
+    let ready = if word == "healthy" { 200 } else { 503 };
+    assert_eq!(new.call("GET", "/status"), ready);
+}
+
+/// Guards against a call that changes the old process of an upgrade alone, which nobody asks any more.
+#[rstest]
+fn a_call_at_the_old_process_reaches_the_one_that_has_taken_over() {
+    let (mut old, mut front) = held();
+    pay(&mut front, 1, "open");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.reported("Ready");
+    assert_eq!(old.call("POST", "/standby"), 200);
+    assert!(becomes(&new.resp, "sick"));
+    let until = Instant::now() + support::PATIENCE;
+    while front.answer_to_status().word != "sick" {
+        assert!(Instant::now() < until, "a connection that is still there hears the same");
+    }
+    assert_eq!(old.call("POST", "/active"), 200);
+    assert!(becomes(&new.resp, "healthy"));
+    assert_eq!(old.call("GET", "/status"), 503);
+}
+
+/// Guards against a standby that ends with the process that serves, where that ends without a hand-over.
+#[rstest]
+fn a_node_on_standby_stays_so_where_its_process_is_killed_beside_one_that_waits() {
+    let (mut old, _front) = held();
+    assert_eq!(old.call("POST", "/standby"), 200);
+    let mut new = waiting(&mut old);
+    new.logged("the process that serves has standby on");
+    old.kill();
+    new.logged("the process before has ended");
+    assert!(becomes(&new.resp, "sick"));
+    assert_eq!(new.call("GET", "/status"), 503);
+    assert_eq!(new.call("POST", "/active"), 200);
+    assert!(becomes(&new.resp, "healthy"));
+}
+
+/// Guards against a yes to a call that the process that serves has not heard.
+#[rstest]
+fn a_call_at_the_next_process_is_refused_in_time_while_the_serving_one_stands_still() {
+    const ANSWERS_WITHIN: Duration = Duration::from_secs(1);
+    let (mut old, _front) = held();
+    let new = waiting(&mut old);
+    old.pause();
+    let called = Instant::now();
+    let answer = new.call("POST", "/standby");
+    let took = called.elapsed();
+    old.resume();
+    assert_eq!(answer, 503);
+    assert!(took < ANSWERS_WITHIN, "{took:?}");
+}
+
+/// Guards against a call at one of two processes that wait, of which the other comes first.
+#[rstest]
+fn a_call_at_one_of_three_processes_is_one_to_the_node() {
+    let (mut old, _front) = held();
+    let mut second = waiting(&mut old);
+    let mut third = old.successor();
+    third.processor.greet("warm");
+    third.logged("the processor is up");
+    old.logged("2 processes wait");
+    assert_eq!(second.call("POST", "/standby"), 200);
+    assert!(becomes(&old.resp, "sick"));
+    old.terminate();
+    // The newest of those that wait comes first.
+    third.logged("taking over");
+    assert!(becomes(&third.resp, "sick"));
+    third.logged("the next process is there");
+    assert_eq!(second.call("POST", "/active"), 200);
+    third.reported("Ready");
+    assert!(becomes(&third.resp, "healthy"));
+    assert_eq!(second.call("POST", "/standby"), 200);
+    third.terminate();
+    second.logged("taking over");
+    assert!(becomes(&second.resp, "sick"));
+}
+
+/// Guards against settings of a process that waits, which SIGHUP reaches before its turn.
+#[rstest]
+fn new_settings_of_a_process_that_waits_are_in_force_in_its_turn() {
+    let (mut old, _front) = held();
+    let mut new = waiting(&mut old);
+    let mut settings = settings();
+    let mut added = settings["classes"][1].clone();
+    added["name"] = json!("plate-check-2");
+    settings["classes"].as_array_mut().expect("classes").push(added);
+    settings["family-info"]["calls-by-class"] = json!([true, false, true, false]);
+    settings["family-info"]["degraded-worth"] = json!([0.3, 0.0, 0.0, 0.0]);
+    new.retune(settings);
+    new.logged("the configuration is read anew");
+    let class_of = |front: &mut FrontEnd, tag: u64| {
+        front.ask(tag, "plate-check-2", &try_id(tag), "", b"body");
+        front.answer().word
+    };
+    assert_eq!(class_of(&mut FrontEnd::connect(&old.resp), 1), "error", "SIGHUP is to one process");
+    new.processor.automatic();
+    old.terminate();
+    new.reported("Ready");
+    assert_eq!(class_of(&mut FrontEnd::connect(&new.resp), 2), "done");
+}
+
 #[rstest]
 fn two_processes_with_crowds_of_quiet_callers_stay_within_the_descriptors_of_one() {
     const LIMIT: usize = 96;
