End maintenance in the next process where the store ends it during an upgrade

What operators saw: maintenance that was taken out of the store between the hand-over and the old process's end stayed on in the next one, which asked for no traffic. With a store in memory the key was gone, so that nobody could take it out.

Cause: follow_operator compared the store with "off" and not with what the hand-over had said. Changes in the old process's store behind the hand-over stayed in the old process.

Change: what the store says is applied as soon as it is known, and counts from then on; the hand-over's copy counts before. A store in memory is given the key in the next process.

--- a/src/node.rs
+++ b/src/node.rs
@@ -59,6 +59,8 @@
 /// How long before it the session of its duties has gone to the next process.
 const PASS_MARGIN: Duration = Duration::from_millis(50);
 
+/// The value of the store's key that puts a node into maintenance.
+const MAINTENANCE_ON: &str = "on";
 /// How long a change of maintenance is waited for before it is logged and tried again.
 const MAINTENANCE_RETRY: Duration = Duration::from_secs(1);
 
@@ -474,8 +476,13 @@
     if !operator.store.is_set_up() {
         return;
     }
-    match store::start(&name, operator.store, published) {
-        Ok(contents) => follow_operator(format!("state/{name}/maintenance"), contents, operators).await,
+    let key = format!("state/{name}/maintenance");
+    let is_durable = operator.store.directory.is_some();
+    // A store in memory has lost the key with the process before.
+    let was_set = shared.exchange.node_status().borrow().operator.maintenance;
+    let initial = (was_set && !is_durable).then(|| (key.clone(), MAINTENANCE_ON.to_owned()));
+    match store::start(&name, operator.store, published, initial) {
+        Ok(contents) => follow_maintenance(key, contents, is_durable, operators).await,
         Err(problem) => error!("the store cannot run: {problem}"),
     }
 }
@@ -625,19 +632,26 @@
     }
 }
 
-/// Carries the operator's wish from the store to the exchange: a node in maintenance serves, yet asks for no
-/// traffic.
-async fn follow_operator(key: String, mut contents: watch::Receiver<Contents>, operators: OperatorCalls) {
-    let mut known = false;
+/// Applies what the store says of maintenance: a node in maintenance serves, yet asks for no traffic. What the process
+/// before has told counts until the store says something.
+async fn follow_maintenance(
+    key: String,
+    mut contents: watch::Receiver<Contents>,
+    is_durable: bool,
+    operators: OperatorCalls,
+) {
+    let mut in_force = None;
     loop {
-        let wished = {
+        let requested = {
             let contents = contents.borrow_and_update();
-            // A member that begins anew has nothing yet, which is not a wish.
-            if contents.applied().is_some() { contents.get(&key) == Some("on") } else { known }
+            // A member that begins anew has nothing yet, and one in memory begins anew with each process.
+            let is_known = contents.applied().is_some() && (is_durable || in_force.is_some());
+            contents.get(&key).map(|value| value == MAINTENANCE_ON).or(is_known.then_some(false))
         };
-        if wished != known {
-            while !operators.change(OperatorChange::Maintenance(wished), MAINTENANCE_RETRY).await {}
-            known = wished;
+        if let Some(requested) = requested.filter(|requested| in_force != Some(*requested)) {
+            let change = OperatorChange::Maintenance(requested);
+            while !operators.change(change, MAINTENANCE_RETRY).await {}
+            in_force = Some(requested);
         }
         if contents.changed().await.is_err() {
             return;
--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -98,7 +98,12 @@
     }
 
     /// Lives until the directory is not to be used any more.
-    pub async fn live(&self, name: &str, configuration: watch::Receiver<String>) -> End {
+    pub async fn live(
+        &self,
+        name: &str,
+        configuration: watch::Receiver<String>,
+        initial: Option<(String, String)>,
+    ) -> End {
         let ended = async {
             self.enter().await?;
             let mut tasks = JoinSet::new();
@@ -116,6 +121,9 @@
                 tasks.spawn(steward::give_way(member.clone()));
             }
             tasks.spawn(keep_configuration(member.clone(), name.to_owned(), configuration));
+            if let Some((key, value)) = initial {
+                tasks.spawn(set_initial(member.clone(), key, value));
+            }
             self.watch(&member).await
         };
         match ended.await {
@@ -413,6 +421,14 @@
     }
 }
 
+/// Sets a key, unless it is there.
+async fn set_initial(member: Member, key: String, value: String) {
+    let change = Change { key, value: Some(value), expect: Some(0) };
+    while !matches!(member.answer(Query::Change(change.clone())).await, Answer::Changed(_)) {
+        sleep(MARK).await;
+    }
+}
+
 /// Puts the node's configuration, and each later one, where other members can read it.
 async fn keep_configuration(member: Member, name: String, mut configuration: watch::Receiver<String>) {
     loop {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -324,7 +324,8 @@
     }
 }
 
-/// Starts the node's member on a thread of its own. What it holds can be watched.
+/// Starts the node's member on a thread of its own. What it holds can be watched. `initial` is a key with its value that
+/// is set once, unless it is there.
 ///
 /// # Errors
 /// The thread cannot be started. Anything later is logged, and leaves the map as it was.
@@ -332,6 +333,7 @@
     name: &str,
     options: StoreOptions,
     configuration: watch::Receiver<String>,
+    initial: Option<(String, String)>,
 ) -> std::io::Result<watch::Receiver<Contents>> {
     let (shown, contents) = watch::channel(Contents::default());
     let name = name.to_owned();
@@ -339,7 +341,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let served = runtime
             .map_err(StoreError::from)
-            .and_then(|rt| rt.block_on(serve(&name, options, configuration, Arc::new(shown))));
+            .and_then(|rt| rt.block_on(serve(&name, options, (configuration, initial), Arc::new(shown))));
         if let Err(problem) = served {
             error!("the store cannot run: {problem}");
         }
@@ -352,7 +354,7 @@
 async fn serve(
     name: &str,
     options: StoreOptions,
-    configuration: watch::Receiver<String>,
+    (configuration, mut initial): (watch::Receiver<String>, Option<(String, String)>),
     shown: Arc<watch::Sender<Contents>>,
 ) -> Result<(), StoreError> {
     let listener = match options.listen {
@@ -385,7 +387,7 @@
             info!("the store's directory works again");
         }
         let end = tokio::select! {
-            end = session.live(name, configuration.clone()) => end,
+            end = session.live(name, configuration.clone(), initial.take()) => end,
             () = answer(listener.as_ref(), &session) => End::Reopen("its socket is gone".to_owned()),
         };
         session.stop().await;
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use support::resp::FrontEnd;
-use support::{Node, config, settings, try_id};
+use support::{Node, config, operate, settings, try_id};
 
 /// A node where nothing is due for long: on a busy machine it takes seconds to start a process beside it.
 fn held() -> (Node, FrontEnd) {
@@ -393,6 +393,81 @@
     assert!(becomes(&second.resp, "sick"));
 }
 
+/// Takes the address of the store from the log of a process.
+fn store_of(node: &mut Node) -> String {
+    node.logged("the configuration is kept");
+    node.logged("listens for the store on").rsplit(' ').next().unwrap_or_default().to_owned()
+}
+
+const MAINTENANCE: &str = "state/n1/maintenance";
+
+/// Guards against a maintenance that is turned off during an upgrade and stays on in the next process.
+#[rstest]
+fn maintenance_that_ends_during_an_upgrade_ends_in_the_next_process() {
+    let (mut old, mut front) = held();
+    let at = store_of(&mut old);
+    assert!(operate(&["set", MAINTENANCE, "on", "--at", &at]).0);
+    old.reported("NotReady");
+    pay(&mut front, 1, "open");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.logged("taking over");
+    assert!(becomes(&new.resp, "sick"));
+    assert!(operate(&["set", MAINTENANCE, "--at", &at]).0);
+    assert!(becomes(&new.resp, "healthy"), "the old process has its store still");
+    old.processor.complete(&try_id(1), b"first");
+    assert!(old.ended().success());
+    store_of(&mut new);
+    assert_eq!(FrontEnd::connect(&new.resp).answer_to_status().word, "healthy");
+}
+
+/// Guards against a key that the store of the process before had in memory, and that nobody can take out any more.
+#[rstest]
+fn maintenance_of_a_store_in_memory_is_kept_and_can_be_ended_in_the_next_process() {
+    let (mut old, _front) = held();
+    let at = store_of(&mut old);
+    assert!(operate(&["set", MAINTENANCE, "on", "--at", &at]).0);
+    old.reported("NotReady");
+    let mut new = waiting(&mut old);
+    old.terminate();
+    assert!(old.ended().success());
+    let at = store_of(&mut new);
+    assert!(becomes(&new.resp, "sick"));
+    let until = Instant::now() + support::PATIENCE;
+    while !operate(&["get", MAINTENANCE, "--at", &at]).1.contains("on") {
+        assert!(Instant::now() < until, "the key is not in the next process's store");
+    }
+    assert!(operate(&["set", MAINTENANCE, "--at", &at]).0);
+    assert!(becomes(&new.resp, "healthy"));
+}
+
+/// Guards against maintenance that is taken for ended by a store on disk before it has read what it holds, and against
+/// one that stays though it was ended while no process followed the store.
+#[rstest]
+fn maintenance_of_a_store_on_disk_is_as_the_store_has_it() {
+    let directory = std::env::temp_dir().join(format!("sillflow-maintenance-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a folder");
+    let table = format!("[store]\nlisten = \"127.0.0.1:0\"\ndirectory = {:?}\n", directory.join("store"));
+    let (mut old, mut front) = held_with(|config| config["operator"] = json!(table));
+    let at = store_of(&mut old);
+    assert!(operate(&["set", MAINTENANCE, "on", "--at", &at]).0);
+    old.reported("NotReady");
+    pay(&mut front, 1, "open");
+    assert_eq!(old.processor.begun(), try_id(1));
+    let mut new = waiting(&mut old);
+    old.terminate();
+    new.logged("taking over");
+    // The old process is gone before it can forward what its store says.
+    old.pause();
+    old.kill();
+    let at = store_of(&mut new);
+    assert_eq!(FrontEnd::connect(&new.resp).answer_to_status().word, "sick");
+    assert!(operate(&["set", MAINTENANCE, "--at", &at]).0);
+    assert!(becomes(&new.resp, "healthy"));
+    let _ = std::fs::remove_dir_all(&directory);
+}
+
 /// Guards against settings of a process that waits, which SIGHUP reaches before its turn.
 #[rstest]
 fn new_settings_of_a_process_that_waits_are_in_force_in_its_turn() {
