Send processes that wait to the new one at the hand-over, not at the old one's end

What callers saw: where two processes waited and the newest took over, a SIGTERM to that one before the first had ended (up to 3.7 s) found no process that waits. It drained, and the node served nobody until the drain was over.

Cause: processes that wait stay on the old process's connection until that ends.

Change: at the hand-over the old process lets go of them, and of those that still come to its socket; they look for the one that serves 10 ms later.

Result: a_process_that_was_not_taken_waits_behind_the_one_that_was_at_once failed on (20 s without "the next process is there") and passes.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod operator;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
@@ -28,6 +28,8 @@
 
 /// Processes that may wait for their turn at once. A platform starts one at a time.
 const MOST_WAITING: usize = 8;
+/// Time before a process that has lost the one it waited for looks for the one that serves.
+const PLACE_AGAIN: Duration = Duration::from_millis(10);
 /// Time between attempts to lock the socket's path, which others hold for a moment.
 const LOCKED: Duration = Duration::from_millis(2);
 
@@ -131,13 +133,14 @@
     let mut from = Uninterrupted::new(from);
     let mut turn = Some(turn);
     let mut session = Some(session);
+    info!("another process of {name} serves still");
     loop {
-        info!("another process of {name} serves still");
         take_over(&mut from, &exchange, &mut turn, &mut session).await;
         if turn.is_none() {
             break;
         }
-        // It has ended without a word, or another of those that waited has its place now.
+        // It has ended without a word, or another of those that waited has its place now, or is about to.
+        sleep(PLACE_AGAIN).await;
         match place(&name).await {
             Ok(Place::Behind(stream)) => from = Uninterrupted::new(stream),
             Ok(Place::First(listener)) => {
@@ -198,6 +201,7 @@
 pub struct Successor {
     waiting: Rc<RefCell<Vec<UnixStream>>>,
     come: Rc<Notify>,
+    dismissed: Rc<Cell<bool>>,
 }
 
 impl Successor {
@@ -221,6 +225,9 @@
     }
 
     fn add(&self, stream: UnixStream) {
+        if self.dismissed.get() {
+            return;
+        }
         let mut waiting = self.waiting.borrow_mut();
         waiting.retain(is_alive);
         if waiting.len() >= MOST_WAITING {
@@ -238,6 +245,13 @@
         waiting.pop()
     }
 
+    /// Sends all that wait, and those that come, to the process that has taken over: it may be told to go before this
+    /// one has ended.
+    pub fn dismiss(&self) {
+        self.dismissed.set(true);
+        self.waiting.borrow_mut().clear();
+    }
+
     /// The next process, as soon as there is one.
     pub async fn come(&self) -> UnixStream {
         loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -225,7 +225,7 @@
         Some(next) => {
             succeeded.succeeded.set(true);
             leaving.prepare_hand_over().await;
-            hand_over(leaving, next, passes).await
+            hand_over(leaving, next, &successor, passes).await
         }
         None => drain(leaving, &successor).await,
     }
@@ -706,7 +706,7 @@
 
 /// Leaves to the next process: gives the connections back at once, hands the keys over, and ends when all that it
 /// has read is answered and nothing runs any more.
-async fn hand_over(leaving: Leaving, next: UnixStream, duties: Option<hold::Ends>) {
+async fn hand_over(leaving: Leaving, next: UnixStream, successor: &Successor, duties: Option<hold::Ends>) {
     let Leaving { told, stop, exchange, closing, fronts, reports } = leaving;
     closing.cancel();
     // What crosses the notice is still this process's, with its key.
@@ -716,6 +716,7 @@
     let (say, said) = mpsc::unbounded_channel();
     let (finish, finished) = oneshot::channel();
     exchange.send(Input::HandOver(to_next)).await;
+    successor.dismiss();
     let telling = spawn_local(handover::tell(next, said));
     let say_handed = say.clone();
     spawn_local(async move {
@@ -774,7 +775,7 @@
         }
     }
     match next {
-        Some(next) => hand_over(leaving, next, None).await,
+        Some(next) => hand_over(leaving, next, successor, None).await,
         None => {
             info!(
                 "stopped {}",
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -468,6 +468,27 @@
     let _ = std::fs::remove_dir_all(&directory);
 }
 
+/// Guards against a process that waits behind an old one that has handed over, so that SIGTERM to the new one is a drain.
+#[rstest]
+fn a_process_that_was_not_taken_waits_behind_the_one_that_was_at_once() {
+    let (mut first, mut front) = held();
+    pay(&mut front, 1, "open");
+    assert_eq!(first.processor.begun(), try_id(1));
+    let mut third = waiting(&mut first);
+    let mut second = first.successor();
+    second.processor.greet("warm");
+    second.logged("the processor is up");
+    first.logged("2 processes wait");
+    first.terminate();
+    second.reported("Ready");
+    second.logged("the next process is there");
+    second.terminate();
+    third.reported("Ready");
+    assert_eq!(FrontEnd::connect(&third.resp).answer_to_status().word, "healthy");
+    first.processor.complete(&try_id(1), b"result");
+    assert_eq!(front.answer().body, b"result", "the first had not ended meanwhile");
+}
+
 /// Guards against settings of a process that waits, which SIGHUP reaches before its turn.
 #[rstest]
 fn new_settings_of_a_process_that_waits_are_in_force_in_its_turn() {
