Tell a third process of a node what the first has open

What callers saw: with two upgrades so close that the first process still had requests open, the third began runs over what the cores survive, and failed repeats of the first one's keys although their results came later.

Cause: a process told the next one of its own requests alone, passed no ends of keys on, and ended before the one ahead of it.

Change: what a process is told of the one before goes on to the next with its own, in the same messages; it ends behind the one before, which was told to go earlier.

--- a/src/exchange/core.rs
+++ b/src/exchange/core.rs
@@ -93,7 +93,9 @@
     pub(super) predecessor_runs: Option<PredecessorRunEstimate>,
     /// Keys whose tries are open at the previous process, with the identifiers that stand for those tries here.
     pub(super) predecessor_keys: HashMap<Key, RequestId>,
-    /// Notified once no request is open.
+    /// Whether the previous process has handed over and not ended, so that it may still report to this one.
+    pub(super) predecessor_is_open: bool,
+    /// Notified once no request is open here, and the previous process has ended.
     pub(super) finished: Option<oneshot::Sender<()>>,
 }
 
@@ -142,6 +144,7 @@
             predecessor_resources: PredecessorResources::default(),
             predecessor_runs: None,
             predecessor_keys: HashMap::new(),
+            predecessor_is_open: false,
             finished: None,
         })
     }
@@ -172,7 +175,8 @@
             let events = std::mem::take(&mut self.events);
             self.run_controller(self.clock.now(), &events);
         }
-        if let Some(finished) = self.finished.take_if(|_| self.entries.is_empty()) {
+        let is_done = self.entries.is_empty() && !self.predecessor_is_open;
+        if let Some(finished) = self.finished.take_if(|_| is_done) {
             self.report_resources();
             self.successor = None;
             let _ = finished.send(());
--- a/src/exchange/succession.rs
+++ b/src/exchange/succession.rs
@@ -1,5 +1,6 @@
 //! Handover from one process of a node to the next. The old process sends its idempotency keys and finishes its open
-//! requests; the new one runs nothing that the old one may have run.
+//! requests; the new one runs nothing that the old one may have run. If a third process takes over before the first has
+//! ended, the second passes on to it what the first reports, and ends after the first.
 
 use log::{info, warn};
 use tokio::sync::mpsc;
@@ -75,13 +76,14 @@
         self.update_status();
     }
 
-    /// Resources that the requests of this process use.
+    /// Resources that the requests of this process use, and those of the process before, which reports to this one.
     fn resources(&self) -> PredecessorResources {
         let controller = &self.controller;
+        let before = &self.predecessor_resources;
         PredecessorResources {
-            booked_kb: controller.booked_kb(),
-            runs: controller.runs(),
-            calls: controller.calls(),
+            booked_kb: controller.booked_kb() + before.booked_kb,
+            runs: controller.runs().saturating_add(before.runs),
+            calls: controller.calls().saturating_add(before.calls),
         }
     }
 
@@ -136,6 +138,7 @@
             HandoverMessage::StartServing(start) => {
                 info!("taking over with {} keys", self.idempotency.operations().count());
                 self.idempotency.set_seed(start.seed);
+                self.predecessor_is_open = true;
                 self.predecessor_resources = start.resources;
                 self.reserve_predecessor_resources();
                 let StartServing { standby, maintenance, .. } = start;
@@ -145,6 +148,7 @@
             HandoverMessage::Resources(resources) => {
                 self.predecessor_resources = resources;
                 self.reserve_predecessor_resources();
+                self.report_resources();
             }
         }
     }
@@ -158,8 +162,7 @@
         let holder = self.predecessor_keys.get(&key).copied();
         if state == HandedOverState::Free {
             if let Some(holder) = holder {
-                self.end_predecessor_key(&key, holder, KeyState::Failed);
-                self.idempotency.expire(&key, holder);
+                self.release_predecessor_key(&key, holder);
             }
             return;
         }
@@ -193,14 +196,25 @@
     fn end_predecessor_key(&mut self, key: &Key, holder: RequestId, state: KeyState) {
         self.predecessor_keys.remove(key);
         let waiting = self.idempotency.end(key, holder, state.clone(), None);
+        self.hand_over_key(key);
         self.share_with_waiting(waiting, &state);
     }
 
+    /// Frees a key whose try never ran in the previous process, and answers the requests that wait for it here.
+    fn release_predecessor_key(&mut self, key: &Key, holder: RequestId) {
+        self.predecessor_keys.remove(key);
+        let waiting = self.idempotency.end(key, holder, KeyState::Failed, None);
+        self.idempotency.expire(key, holder);
+        self.hand_over_key(key);
+        self.share_with_waiting(waiting, &KeyState::Failed);
+    }
+
     /// Handles the end of the previous process. Keys whose end it did not report may have run, and fail. Runs that it
     /// left on the processor go on: their resources are released as the gauges show that they have ended. Its calls
     /// were given up with its connections, but may still be running at the dependency.
     pub(super) fn predecessor_ended(&mut self) {
         self.start_serving();
+        self.predecessor_is_open = false;
         let PredecessorResources { booked_kb, runs, calls } = std::mem::take(&mut self.predecessor_resources);
         self.controller.add_lingering_calls(self.clock.now(), calls);
         if runs > 0 {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -489,6 +489,50 @@
     assert_eq!(front.answer().body, b"result", "the first had not ended meanwhile");
 }
 
+/// Guards against a third process that is not told what the first has open, and runs it again or over the crowd.
+#[rstest]
+fn the_third_process_knows_what_the_first_has_open() {
+    // Of four runs, two on each of two cores, a part is kept free.
+    let (mut first, mut front) =
+        held_with(|config| config["settings"]["rules"]["fall-multiple"] = json!(2.0));
+    for tag in [1, 2] {
+        pay(&mut front, tag, &format!("first-{tag}"));
+        assert_eq!(first.processor.begun(), try_id(tag));
+    }
+    let mut third = waiting(&mut first);
+    let mut second = first.successor();
+    second.processor.greet("warm");
+    second.logged("the processor is up");
+    first.logged("2 processes wait");
+    first.terminate();
+    second.reported("Ready");
+    second.logged("the next process is there");
+    second.terminate();
+    third.reported("Ready");
+    let mut next = FrontEnd::connect(&third.resp);
+    pay(&mut next, 11, "first-1");
+    pay(&mut next, 12, "first-2");
+    for tag in [21, 22] {
+        pay(&mut next, tag, &format!("third-{tag}"));
+    }
+    let begun = third.processor.begun();
+    assert!([try_id(21), try_id(22)].contains(&begun), "{begun} is a repeat of a run of the first process");
+    // Answers to checks come behind whatever was decided of what came before.
+    (0..10).for_each(|_| drop(next.answer_to_status()));
+    assert_eq!(third.processor.count("begin"), 0, "with the two of the first process three are enough");
+    first.processor.complete(&try_id(1), b"result");
+    assert_eq!(front.answer().body, b"result");
+    assert_eq!(next.answer().body, b"result", "the end of a run of the first process, through the second");
+    let other = third.processor.begun();
+    assert!([try_id(21), try_id(22)].contains(&other) && other != begun);
+    // What the first process never told the end of may have run.
+    first.kill();
+    let failed = next.answer();
+    assert_eq!((failed.tag.as_str(), failed.word.as_str()), ("12", "error"));
+    assert!(second.ended().success(), "it ends behind the first");
+    assert_eq!(third.processor.count("begin"), 0);
+}
+
 /// Guards against settings of a process that waits, which SIGHUP reaches before its turn.
 #[rstest]
 fn new_settings_of_a_process_that_waits_are_in_force_in_its_turn() {
