--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -2,12 +2,11 @@
 //! Unix socket in the node's own folder until the one that serves is told to go.
 
 pub mod operator;
+mod successor;
 
-use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -15,45 +14,45 @@
 use rustix::io::Errno;
 use serde::{Deserialize, Serialize};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
 use crate::exchange::{HandedOverKey, Handle, HandoverMessage, Input, PredecessorResources, StartServing};
 use crate::frame::{receive, send};
 use crate::lease::MOST_DUTIES;
 use crate::lease::pass::{Carried, Passed};
-use crate::net::accept::{self, Acceptor};
 use crate::net::stream::Uninterrupted;
 
-/// Processes that may wait for their turn at once. A platform starts one at a time.
-const MOST_WAITING: usize = 8;
+pub use successor::Successor;
+
 /// Time before a process that has lost the one it waited for looks for the one that serves.
 const PLACE_AGAIN: Duration = Duration::from_millis(10);
 /// Time between attempts to lock the socket's path, which others hold for a moment.
 const LOCKED: Duration = Duration::from_millis(2);
 
-/// What one process says to the next.
+/// A message from one process to the next.
 #[derive(Serialize, Deserialize)]
-pub enum Said {
+pub enum Message {
     /// A key, as it stands now.
     Key(HandedOverKey),
     /// From here on the next process serves.
-    Turn(StartServing),
-    /// Behind the turn, what this process still takes of the node's room.
-    Room(PredecessorResources),
+    #[serde(rename = "Turn")]
+    StartServing(StartServing),
+    /// Sent after that: the resources that this process still uses.
+    #[serde(rename = "Room")]
+    Resources(PredecessorResources),
     /// A duty that goes with the session.
     Duty(Box<Carried>),
     /// The session of the node's duties, behind all of them.
     Session(Box<Passed>),
 }
 
-impl From<HandoverMessage> for Said {
+impl From<HandoverMessage> for Message {
     fn from(handed: HandoverMessage) -> Self {
         match handed {
             HandoverMessage::Key(key) => Self::Key(key),
-            HandoverMessage::StartServing(turn) => Self::Turn(turn),
-            HandoverMessage::Resources(room) => Self::Room(room),
+            HandoverMessage::StartServing(start) => Self::StartServing(start),
+            HandoverMessage::Resources(resources) => Self::Resources(resources),
         }
     }
 }
@@ -167,22 +166,22 @@
 ) {
     let mut duties = Vec::new();
     loop {
-        match receive::<Said>(from).await {
-            Ok(Some(Said::Key(key))) => {
+        match receive::<Message>(from).await {
+            Ok(Some(Message::Key(key))) => {
                 exchange.send(Input::FromPredecessor(HandoverMessage::Key(key))).await
             }
-            Ok(Some(Said::Turn(of))) => {
-                exchange.send(Input::FromPredecessor(HandoverMessage::StartServing(of))).await;
+            Ok(Some(Message::StartServing(start))) => {
+                exchange.send(Input::FromPredecessor(HandoverMessage::StartServing(start))).await;
                 if let Some(turn) = turn.take() {
                     let _ = turn.send(());
                 }
             }
-            Ok(Some(Said::Room(room))) => {
-                exchange.send(Input::FromPredecessor(HandoverMessage::Resources(room))).await
+            Ok(Some(Message::Resources(resources))) => {
+                exchange.send(Input::FromPredecessor(HandoverMessage::Resources(resources))).await
             }
-            Ok(Some(Said::Duty(duty))) if duties.len() < MOST_DUTIES => duties.push(*duty),
-            Ok(Some(Said::Duty(duty))) => warn!("{} is one duty too many", duty.fence.duty),
-            Ok(Some(Said::Session(passed))) => {
+            Ok(Some(Message::Duty(duty))) if duties.len() < MOST_DUTIES => duties.push(*duty),
+            Ok(Some(Message::Duty(duty))) => warn!("{} is one duty too many", duty.fence.duty),
+            Ok(Some(Message::Session(passed))) => {
                 if let Some(session) = session.take() {
                     let _ = session.send(Passed { duties: std::mem::take(&mut duties), ..*passed });
                 }
@@ -196,82 +195,10 @@
     }
 }
 
-/// Where the next processes of this node wait.
-#[derive(Clone, Default)]
-pub struct Successor {
-    waiting: Rc<RefCell<Vec<UnixStream>>>,
-    come: Rc<Notify>,
-    dismissed: Rc<Cell<bool>>,
-}
-
-impl Successor {
-    /// Lets processes wait here, at the socket's path.
-    ///
-    /// # Errors
-    /// The socket cannot be had.
-    pub async fn listen(&self, name: &str) -> io::Result<()> {
-        let _locked = lock_or_warn(name).await;
-        self.wait_at(listener(&socket_path(name))?);
-        Ok(())
-    }
-
-    /// Lets processes wait at this socket. All that come are kept: one that lost its connection would take itself for the
-    /// next one.
-    pub fn wait_at(&self, listener: UnixListener) {
-        let successor = self.clone();
-        let add = move |_: &mut JoinSet<()>, stream| successor.add(stream);
-        // A process that waits costs no task: there is nothing to bound.
-        spawn_local(accept::serve(Acceptor::new("the next process", listener), 1, add));
-    }
-
-    fn add(&self, stream: UnixStream) {
-        if self.dismissed.get() {
-            return;
-        }
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.retain(is_alive);
-        if waiting.len() >= MOST_WAITING {
-            return warn!("{MOST_WAITING} processes wait already: a further one is sent away");
-        }
-        waiting.push(stream);
-        info!("the next process is there; {} processes wait", waiting.len());
-        self.come.notify_one();
-    }
-
-    /// The newest process that waits and has not ended meanwhile. The others wait on.
-    pub fn take(&self) -> Option<UnixStream> {
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.retain(is_alive);
-        waiting.pop()
-    }
-
-    /// Sends all that wait, and those that come, to the process that has taken over: it may be told to go before this
-    /// one has ended.
-    pub fn dismiss(&self) {
-        self.dismissed.set(true);
-        self.waiting.borrow_mut().clear();
-    }
-
-    /// The next process, as soon as there is one.
-    pub async fn come(&self) -> UnixStream {
-        loop {
-            if let Some(stream) = self.take() {
-                return stream;
-            }
-            self.come.notified().await;
-        }
-    }
-}
-
-/// Whether the process at the other end of a connection, which says nothing, is there still.
-fn is_alive(waiting: &UnixStream) -> bool {
-    matches!(waiting.try_read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
-}
-
 /// Tells the next process what is handed over, until nothing is left.
-pub async fn tell(to: UnixStream, mut said: mpsc::UnboundedReceiver<Said>) {
+pub async fn tell(to: UnixStream, mut messages: mpsc::UnboundedReceiver<Message>) {
     let mut to = Uninterrupted::new(to);
-    while let Some(message) = said.recv().await {
+    while let Some(message) = messages.recv().await {
         if let Err(problem) = send(&mut to, &message).await {
             return warn!("the next process cannot be told: {problem}");
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,7 +30,7 @@
 use crate::fleet::view::View;
 use crate::front::{self, Door, Shared, ajp, resp};
 use crate::handover::operator::OperatorCalls;
-use crate::handover::{self, Place, Said, Successor};
+use crate::handover::{self, Message, Place, Successor};
 use crate::inherited_listener;
 use crate::interface::{RequestId, SettingsError};
 use crate::lease::pass::Passed;
@@ -747,12 +747,12 @@
 }
 
 /// Gives the session of the duties to the next process, where there is one.
-async fn pass_on(duties: hold::Ends, by: Instant, say: &mpsc::UnboundedSender<Said>) {
+async fn pass_on(duties: hold::Ends, by: Instant, say: &mpsc::UnboundedSender<Message>) {
     if let Some(mut passed) = duties.pass(by).await {
         for duty in passed.duties.drain(..) {
-            let _ = say.send(Said::Duty(Box::new(duty)));
+            let _ = say.send(Message::Duty(Box::new(duty)));
         }
-        let _ = say.send(Said::Session(Box::new(passed)));
+        let _ = say.send(Message::Session(Box::new(passed)));
     }
 }
 
