Wait for a report from behind the withdrawal in the test of routes that are kept for a while

Cause: the test's. It read the node's last report, which may be as old as the time between two, and so from before the announcement.

Change: the test waits until a report shows all ten routes as used and withheld, which only one from behind the withdrawal can. Before it asked for ten routes alone, which a report from before the withdrawal has too, so it asks for no less.

--- a/tests/partners.rs
+++ b/tests/partners.rs
@@ -247,7 +247,10 @@
     for n in all {
         b.loses("f1", n);
     }
-    assert_eq!(fleet.routes(n, "a"), 10, "they are used here for a while");
+    // The last report may be from before the withdrawal, or even from before the announcement.
+    until("they are used here for a while, and told to nobody", PATIENCE, || {
+        fleet.shown(n, "a").is_some_and(|shown| (shown.routes, shown.withheld) == (10, 10))
+    });
     until("they are over", PATIENCE, || fleet.routes(n, "a") == 0);
     assert_eq!(world.judge(FIRST_MS), []);
 }
--- a/tests/rig/sites.rs
+++ b/tests/rig/sites.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use sillflow::route_exchange::live::Report;
+use sillflow::route_exchange::live::{Report, Shown};
 use sillflow::route_exchange::restrict::Restriction;
 use sillflow::route_exchange::route::Name;
 
@@ -790,8 +790,12 @@
 
     /// Routes of a partner that a node has.
     pub fn routes(&self, n: usize, partner: &str) -> usize {
-        let shown = self.answers(n).partners.into_iter().find(|shown| shown.partner == name(partner));
-        shown.map_or(0, |shown| shown.routes)
+        self.shown(n, partner).map_or(0, |shown| shown.routes)
+    }
+
+    /// What a node shows of a partner. It may be as old as the time between two reports of the node.
+    pub fn shown(&self, n: usize, partner: &str) -> Option<Shown> {
+        self.answers(n).partners.into_iter().find(|shown| shown.partner == name(partner))
     }
 
     pub fn site_of(stand: &Stand) -> (&str, Vec<String>) {
