Hold a member's next election off until its last one is answered

What callers saw: with one of three members away and slow syncs at the others, no member led and nothing was acknowledged for 30 s (a_disk_that_is_full_in_the_middle_of_an_append_..., in KNOWN-RED.txt).

Cause: the consensus library draws the time until a member stands once for a process, and counts it from before the member's own vote is synced. A round takes two syncs. A member with a short time began its next term before the answers to the last one were in: both voters granted each term, and each answer was to a term that it had left.

Change: store::election decides when a member stands. The time is drawn anew for each term and counts from when the requests for votes are answered; behind a lease, from when a leader was heard or a candidate was granted a vote. An answer has 0.9 s and not 0.4 s. A debug build can slow syncs down for a test (SILLFLOW_FOLDER_FAULTS, slow:300).

--- a/src/store/enter.rs
+++ b/src/store/enter.rs
@@ -20,18 +20,15 @@
 use super::decide::members::Place;
 use super::disk::{Disk, DiskError, Opened};
 use super::door::{Door, locked};
+use super::election::{self, Elections};
 use super::map::{Contents, StateMachine};
 use super::member::Member;
 use super::wire::{self, About, GREETING, Heard, Message, Network};
 use super::writer::Writer;
 use super::{Answer, Change, Query, StoreError, steward};
 
-/// Time between heartbeats, and bounds of an election's time, in ms. A member stands for election when it has heard none
-/// for the longer of these, which is the leader's lease, and a time between them on top: 1.3 to 1.8 s.
-const HEARTBEAT_MS: u64 = 100;
-const ELECTION_MS: (u64, u64) = (400, 900);
-/// How many times slower a member without a socket does that.
-const ALONE: u64 = 10;
+/// How many times slower a member without a socket beats and stands for election.
+const ALONE: u32 = 10;
 /// Log entries between two snapshots, and those before the last one that are kept for members that are behind.
 const SNAPSHOT_LOGS: u64 = 500;
 const KEEP_LOGS: u64 = 250;
@@ -119,6 +116,7 @@
             if !self.is_alone() {
                 tasks.spawn(steward::keep(member.clone()));
                 tasks.spawn(steward::give_way(member.clone()));
+                tasks.spawn(member.elections.clone().stand(member.raft.clone()));
             }
             tasks.spawn(keep_configuration(member.clone(), name.to_owned(), configuration));
             if let Some((key, value)) = initial {
@@ -281,11 +279,15 @@
     async fn run(&self) -> Result<Member, StoreError> {
         // A member that can have no others has nobody to beat for.
         let slower = if self.is_alone() { ALONE } else { 1 };
+        let ms = |time: Duration| (time * slower).as_millis() as u64;
         let config = openraft::Config {
             cluster_name: "sillflow".to_owned(),
-            heartbeat_interval: HEARTBEAT_MS * slower,
-            election_timeout_min: ELECTION_MS.0 * slower,
-            election_timeout_max: ELECTION_MS.1 * slower,
+            heartbeat_interval: ms(election::HEARTBEAT),
+            // The library's own timer is on where there are no others. Its shorter time bounds requests for votes, too, and
+            // its longer one is the lease.
+            enable_elect: self.is_alone(),
+            election_timeout_min: ms(election::ANSWER_WITHIN),
+            election_timeout_max: ms(election::LEASE),
             snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_LOGS),
             max_in_snapshot_log_to_keep: KEEP_LOGS,
             ..openraft::Config::default()
@@ -295,8 +297,15 @@
         let (own, cluster) = (identity.member, identity.cluster.unwrap_or_default());
         let heard = Heard::default();
         let silent = Arc::<AtomicBool>::default();
-        let network =
-            Network { cluster, member: own, own: self.from, heard: heard.clone(), silent: silent.clone() };
+        let elections = Elections::new();
+        let network = Network {
+            cluster,
+            member: own,
+            own: self.from,
+            heard: heard.clone(),
+            silent: silent.clone(),
+            elections: elections.clone(),
+        };
         let disk = self.door.disk.clone();
         let machine = StateMachine::new(disk.clone(), self.shown.clone())?;
         let raft = Raft::new(own, config, network, disk.clone(), machine).await;
@@ -318,6 +327,7 @@
             contents: self.shown.subscribe(),
             heard,
             silent,
+            elections,
             options: self.options.clone(),
             level: Arc::default(),
             has_written: Arc::default(),
--- a/src/store/member.rs
+++ b/src/store/member.rs
@@ -18,6 +18,7 @@
 use crate::lease::{DutyName, table as duty};
 
 use super::decide::members::{Limits, Place};
+use super::election::Elections;
 use super::inquire::{self, Found};
 use super::map::{Batch, Contents, Deed, Logged};
 use super::wire::{self, Heard, Message};
@@ -52,6 +53,7 @@
     pub contents: watch::Receiver<Contents>,
     pub heard: Heard,
     pub silent: Arc<AtomicBool>,
+    pub elections: Elections,
     pub options: Arc<StoreOptions>,
     /// When it was last level with the one that leads.
     pub level: Arc<Mutex<Option<Instant>>>,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -8,6 +8,7 @@
 pub mod decide;
 mod disk;
 mod door;
+mod election;
 mod enter;
 mod inquire;
 #[cfg(test)]
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -35,6 +35,7 @@
 use super::decide::members::Place;
 use super::decide::pieces::{Announced, Digest, PIECE_BYTES, PieceError, digest};
 use super::door::Door;
+use super::election::Elections;
 use super::{Answer, Query, Status, Types};
 
 /// Connections served at once.
@@ -258,13 +259,26 @@
     member.heard.now(from);
     match call {
         Call::Append(rpc) => {
+            // Behind a sync that holds this thread up, what came before it counts from when it came.
+            if rpc.vote >= member.metrics().vote {
+                member.elections.hold_off();
+            }
             let reply = member.raft.append_entries(rpc).await;
             if matches!(reply, Ok(AppendEntriesResponse::Success)) {
                 member.level_now();
             }
+            if !matches!(reply, Ok(AppendEntriesResponse::HigherVote(_)) | Err(_)) {
+                member.elections.hold_off();
+            }
+            send(stream, &Ok::<_, Deaf>(reply)).await
+        }
+        Call::Vote(rpc) => {
+            let reply = member.raft.vote(rpc).await;
+            if reply.as_ref().is_ok_and(|reply| reply.vote_granted) {
+                member.elections.hold_off();
+            }
             send(stream, &Ok::<_, Deaf>(reply)).await
         }
-        Call::Vote(rpc) => send(stream, &Ok::<_, Deaf>(member.raft.vote(rpc).await)).await,
         Call::Announce(announced) => send(stream, &Ok::<_, Deaf>(door.announce(&announced))).await,
         Call::Piece { of, at, piece } => {
             let taken = match STANDARD.decode(&piece) {
@@ -277,7 +291,11 @@
             let installed = match door.finish(&of) {
                 Ok(bytes) => {
                     let snapshot = Snapshot { meta, snapshot: Box::new(io::Cursor::new(bytes)) };
-                    Ok(member.raft.install_full_snapshot(vote, snapshot).await)
+                    let installed = member.raft.install_full_snapshot(vote, snapshot).await;
+                    if installed.as_ref().is_ok_and(|reply| reply.vote <= vote) {
+                        member.elections.hold_off();
+                    }
+                    Ok(installed)
                 }
                 Err(problem) => Err(problem),
             };
@@ -295,6 +313,7 @@
     pub heard: Heard,
     /// Whether this member says nothing as the one that leads: see [`super::steward`].
     pub silent: Arc<AtomicBool>,
+    pub elections: Elections,
 }
 
 /// A link to one member, connected at its first use and again after it broke.
@@ -386,7 +405,14 @@
         rpc: VoteRequest<u64>,
         _option: RPCOption,
     ) -> Called<VoteResponse<u64>, openraft::error::Infallible> {
-        self.call(Call::Vote(rpc)).await
+        let elections = self.network.elections.clone();
+        let _request = elections.request();
+        let last_log_id = rpc.last_log_id;
+        let reply: VoteResponse<u64> = self.call(Call::Vote(rpc)).await?;
+        if reply.last_log_id > last_log_id {
+            elections.has_shorter_log();
+        }
+        Ok(reply)
     }
 
     /// Snapshots travel by [`Self::full_snapshot`] alone.
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -380,6 +380,25 @@
     assert!(came < whole + whole / 2, "{came} bytes for a snapshot of {whole}");
 }
 
+/// Guards against members that begin a new term before the answers to the last one are in: with slow syncs each of them was
+/// granted its votes too late, and none ever led.
+#[rstest]
+fn members_whose_syncs_are_slow_elect_one_of_them() {
+    // A vote takes two syncs.
+    let slower_ms = 300;
+    let mut rig = Rig::new(3);
+    rig.form(3);
+    let leader = rig.led(&[1, 2, 3]);
+    rig.writes(leader, "a", "before");
+    let rest = others(leader, &[1, 2, 3]);
+    rest.iter().for_each(|n| rig.syncs_take(*n, slower_ms));
+    rig.kill(leader);
+    rig.led(&rest);
+    rig.writes(rest[0], "a", "after");
+    rest.iter().for_each(|n| rig.folders_work(*n));
+    assert_eq!(rig.reads(rest[1], "a"), Some("after".to_owned()));
+}
+
 #[rstest]
 fn a_disk_that_is_full_in_the_middle_of_an_append_costs_nothing_that_was_acknowledged() {
     let mut rig = Rig::new(3);
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -319,6 +319,11 @@
         fs::write(self.faults_path(n), operation).expect("a file");
     }
 
+    /// Has every sync of a process's folders take so much longer until [`Self::folders_work`].
+    pub fn syncs_take(&self, n: usize, ms: u64) {
+        fs::write(self.faults_path(n), format!("slow:{ms}")).expect("a file");
+    }
+
     pub fn folders_work(&self, n: usize) {
         fs::remove_file(self.faults_path(n)).expect("a file");
     }
