Move the table of connections from the fronts to net, for any thread

The listeners for questions of other nodes need it too, and the store's has a thread of its own: Arc, Mutex and an atomic counter in place of Rc, RefCell and Cell.

--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -15,10 +15,10 @@
 use winnow::token::{take_till, take_while};
 use winnow::{ModalResult, Parser, Partial};
 
-use super::table::{Room, Seat};
 use crate::exchange::OperatorChange;
 use crate::handover::operator::OperatorCalls;
 use crate::net::stream::Uninterrupted;
+use crate::net::table::{Room, Seat};
 
 /// Operators are few: when all places are taken, the one that has been silent for longest leaves.
 pub fn room(most: usize) -> Room {
--- a/src/front/ajp.rs
+++ b/src/front/ajp.rs
@@ -20,12 +20,12 @@
 use super::closing::{has_closed, has_unread, linger};
 use super::fairness::account_for;
 use super::fields::{Fields, Unfit};
-use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
 use crate::config::Ajp;
 use crate::exchange::{Anomaly, Answer, IncomingRequest, Input, Reply, ReplyTo};
 use crate::interface::RequestId;
 use crate::net::stream::Uninterrupted;
+use crate::net::table::Seat;
 
 /// Bytes of one packet from the web server, without its head, and of one chunk of a body in it.
 const PACKET_BYTES: usize = 8188;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,11 +6,11 @@
 mod fairness;
 mod fields;
 pub mod resp;
-pub mod table;
 
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -21,7 +21,7 @@
 use crate::exchange::{Anomaly, Handle, Input};
 use crate::fault_injection::{self, InjectedFault};
 use crate::net::accept::Acceptor;
-use table::{Room, Seat, Table};
+use crate::net::table::{Room, Seat, Table};
 
 /// A client that has said nothing whole for this long is closed: since its connection was accepted, or since it
 /// began what it has not ended. Slow front ends take two seconds to write a request; three are too long.
@@ -90,7 +90,7 @@
 {
     let Door { mut acceptor, held } = door;
     let mut crowd =
-        Crowd { open: JoinSet::new(), table: Rc::new(Table::new(room.spares)), room, shared, connection };
+        Crowd { open: JoinSet::new(), table: Arc::new(Table::new(room.spares)), room, shared, connection };
     let closing = crowd.shared.closing.clone();
     loop {
         let accepted = tokio::select! {
@@ -121,7 +121,7 @@
 /// The connections of a front, and how further ones are served.
 struct Crowd<C> {
     open: JoinSet<()>,
-    table: Rc<Table>,
+    table: Arc<Table>,
     room: Room,
     shared: Rc<Shared>,
     connection: C,
--- a/src/front/resp/mod.rs
+++ b/src/front/resp/mod.rs
@@ -22,11 +22,11 @@
 use self::wire::{Bad, Message, decode, frame, put_closing, put_reply, put_status};
 use super::closing::{has_closed, has_unread, is_reset, linger, reset};
 use super::fairness::account_for;
-use super::table::Seat;
 use super::{SPEAKS_WITHIN, Shared, WRITES_WITHIN};
 use crate::exchange::{Anomaly, Answer, IncomingRequest, Input, NodeStatus, Reply, ReplyTo};
 use crate::interface::RequestId;
 use crate::net::stream::{Uninterrupted, uninterrupted};
+use crate::net::table::Seat;
 
 /// Requests open on one connection; further ones are failed at once. Twice what the protocol allows, so that a
 /// caller that keeps to it is never failed while an answer is on its way.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Every listener, client and stream of the program uses these, so that a failed system call means the same everywhere:
 //! [`bind`] has addresses, [`accept`] takes connections, [`connect`] makes them, [`errors`] says what a failure proves,
-//! [`stream`] retries interrupted calls, [`datagram`] sends and receives, and [`episode`] logs a run of failures once.
+//! [`stream`] retries interrupted calls, [`datagram`] sends and receives, [`table`] decides
+//! who leaves where there is no room, and [`episode`] logs a run of failures once.
 
 pub mod accept;
 pub mod bind;
@@ -12,3 +13,4 @@
 pub mod errors;
 pub(crate) mod fault;
 pub mod stream;
+pub mod table;
--- a/src/front/table.rs
+++ b/src/net/table.rs
@@ -1,10 +1,10 @@
-//! The table of a front's connections. When it is full, a newcomer takes the place of one that says nothing: first
+//! The table of a listener's connections. When it is full, a newcomer takes the place of one that says nothing: first
 //! one that never said anything, then the one that has been quiet for longest, then one that is half way through a
 //! message. Working connections keep theirs.
 
-use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -20,7 +20,7 @@
 }
 
 /// Those that may lose their place, each kind in the order of its time.
-type Rows = BTreeMap<(Standing, u64), (Instant, Rc<Notify>)>;
+type Rows = BTreeMap<(Standing, u64), (Instant, Arc<Notify>)>;
 
 /// How many connections there may be, and how long one is spared after it was accepted though it says nothing.
 #[derive(Clone, Copy, Debug)]
@@ -32,28 +32,28 @@
 }
 
 /// The table.
-pub(super) struct Table {
+pub struct Table {
     spares: Duration,
-    rows: RefCell<Rows>,
-    stamps: Cell<u64>,
+    rows: Mutex<Rows>,
+    stamps: AtomicU64,
 }
 
 impl Table {
     /// A table without connections.
     pub fn new(spares: Duration) -> Self {
-        Self { spares, rows: RefCell::default(), stamps: Cell::new(0) }
+        Self { spares, rows: Mutex::default(), stamps: AtomicU64::new(0) }
     }
 
     /// Enters a connection that has said nothing yet.
-    pub fn enter(self: &Rc<Self>) -> Seat {
-        let seat = Seat { table: self.clone(), row: Cell::new(None), lost: Rc::default() };
+    pub fn enter(self: &Arc<Self>) -> Seat {
+        let seat = Seat { table: self.clone(), row: Mutex::default(), lost: Arc::default() };
         seat.put(Standing::Silent);
         seat
     }
 
     /// Asks one connection to leave. False where all are working or new.
     pub fn make_room(&self) -> bool {
-        let mut rows = self.rows.borrow_mut();
+        let mut rows = locked(&self.rows);
         let now = Instant::now();
         let silent = rows.first_key_value().filter(|((standing, _), (since, _))| {
             *standing == Standing::Quiet || now.duration_since(*since) >= self.spares
@@ -68,18 +68,17 @@
 
 /// One connection's place in the table, given back when it is dropped.
 pub struct Seat {
-    table: Rc<Table>,
-    row: Cell<Option<(Standing, u64)>>,
-    lost: Rc<Notify>,
+    table: Arc<Table>,
+    row: Mutex<Option<(Standing, u64)>>,
+    lost: Arc<Notify>,
 }
 
 impl Seat {
     fn put(&self, standing: Standing) {
         self.work();
-        let stamp = self.table.stamps.get();
-        self.table.stamps.set(stamp + 1);
-        self.table.rows.borrow_mut().insert((standing, stamp), (Instant::now(), self.lost.clone()));
-        self.row.set(Some((standing, stamp)));
+        let stamp = self.table.stamps.fetch_add(1, Relaxed);
+        locked(&self.table.rows).insert((standing, stamp), (Instant::now(), self.lost.clone()));
+        *locked(&self.row) = Some((standing, stamp));
     }
 
     /// The connection has nothing open from now on.
@@ -89,15 +88,17 @@
 
     /// A part of a message has come. A connection that works keeps its place anyway.
     pub fn speak(&self) {
-        if self.row.get().is_some_and(|(standing, _)| standing != Standing::Speaking) {
+        let row = *locked(&self.row);
+        if row.is_some_and(|(standing, _)| standing != Standing::Speaking) {
             self.put(Standing::Speaking);
         }
     }
 
     /// The connection is of use: it keeps its place.
     pub fn work(&self) {
-        if let Some(key) = self.row.take() {
-            self.table.rows.borrow_mut().remove(&key);
+        let row = locked(&self.row).take();
+        if let Some(key) = row {
+            locked(&self.table.rows).remove(&key);
         }
     }
 
@@ -107,6 +108,10 @@
     }
 }
 
+fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Drop for Seat {
     fn drop(&mut self) {
         self.work();
