Have connections that ask nothing leave where others want their place

What callers saw: eight connections that said nothing delayed a question about servers by 5 s, and each eight more by another 5 s; 64 at the store kept a write from being answered within 8 s.

Cause: accept::serve lets further connections wait until one is done, and one that asks nothing is done when its time is over: 5 s for questions about servers, 8 s at the fleet, 2 s for votes, 30 s at the store.

Change: accept::serve_questions has the connection leave that has asked nothing for longest, once that is 200 ms, with the table that the fronts have. One that has asked keeps its place until it has its answer.

--- a/src/ejection/listener.rs
+++ b/src/ejection/listener.rs
@@ -6,6 +6,7 @@
 
 use log::debug;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::coordinator::Vote;
@@ -16,23 +17,29 @@
 use crate::fleet::view::{Applicant, Node};
 use crate::net::accept::{self, Acceptor};
 use crate::net::connect::Stream;
+use crate::net::table::Seat as Place;
 
-/// Connections served at once; further ones wait.
+/// Connections served at once; see [`accept::serve_questions`] for further ones.
 const ROOM: usize = 64;
 
 /// Answers for as long as the node runs.
 pub(super) async fn open(listener: TcpListener, seat: Rc<Seat>) {
     let acceptor = Acceptor::new("votes", listener);
-    accept::serve(acceptor, ROOM, move |open, (stream, from)| {
-        open.spawn_local(timeout(REQUEST_TIMEOUT, connection(stream, from, seat.clone())));
-    })
-    .await;
+    let begin = move |open: &mut JoinSet<()>, (stream, from): (TcpStream, SocketAddr), place: Place| {
+        let seat = seat.clone();
+        open.spawn_local(async move {
+            let answered = timeout(REQUEST_TIMEOUT, connection(stream, from, seat, &place));
+            let _ = place.serve(answered).await;
+        });
+    };
+    accept::serve_questions(acceptor, ROOM, begin).await;
 }
 
-async fn connection(stream: TcpStream, from: SocketAddr, seat: Rc<Seat>) -> io::Result<()> {
+async fn connection(stream: TcpStream, from: SocketAddr, seat: Rc<Seat>, place: &Place) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = Stream::new(stream);
     let said: Request = receive(&mut stream, MAX_REQUEST_BYTES).await?;
+    place.work();
     let answer = answer(&seat, from, said);
     // A list is an effect of the duty: the lease was looked at just now, and whoever gets the list knows its number.
     send(&mut stream, &answer).await
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::{LocalSet, spawn_blocking, spawn_local};
+use tokio::task::{JoinSet, LocalSet, spawn_blocking, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::config::FleetTable;
@@ -32,6 +32,7 @@
 use crate::net::connect::Stream;
 use crate::net::datagram;
 use crate::net::episode::FailureEpisode;
+use crate::net::table::Seat;
 use crate::replication;
 use crate::replication::disk::DiskError;
 
@@ -355,17 +356,26 @@
 
 async fn open_door(door: TcpListener, asked: mpsc::Sender<Asked>, store: Rc<Store>) {
     let acceptor = Acceptor::new("the fleet", door);
-    accept::serve(acceptor, CONNECTIONS, move |open, (stream, _): (TcpStream, SocketAddr)| {
-        let answered = answer(Stream::new(stream), asked.clone(), store.clone());
-        open.spawn_local(timeout(DONE_WITHIN, answered));
-    })
-    .await;
+    let begin = move |open: &mut JoinSet<()>, (stream, _): (TcpStream, SocketAddr), seat: Seat| {
+        let (asked, store) = (asked.clone(), store.clone());
+        open.spawn_local(async move {
+            let answered = timeout(DONE_WITHIN, answer(Stream::new(stream), asked, store, &seat));
+            let _ = seat.serve(answered).await;
+        });
+    };
+    accept::serve_questions(acceptor, CONNECTIONS, begin).await;
 }
 
-async fn answer(mut stream: Stream, asked: mpsc::Sender<Asked>, store: Rc<Store>) -> io::Result<()> {
+async fn answer(
+    mut stream: Stream,
+    asked: mpsc::Sender<Asked>,
+    store: Rc<Store>,
+    seat: &Seat,
+) -> io::Result<()> {
     let Some(question) = receive_within::<Question>(&mut stream, QUESTION_BYTES).await? else {
         return Ok(());
     };
+    seat.work();
     let told = match question {
         Question::Report => Told::Report(Box::new(put(&asked, Asked::Report).await?)),
         Question::Leave(name) => take_out(&store, &put(&asked, Asked::Report).await?, name, false).await,
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::warn;
@@ -13,6 +14,7 @@
 use super::episode::FailureEpisode;
 use super::errors::{AcceptFailure, accept_failure};
 use super::fault::{Operation, inject};
+use super::table::{Seat, Table};
 use crate::fault_injection::{self, InjectedFault};
 
 /// Pauses after failures for want of something grow from the first to the second of these: it costs little to look again,
@@ -20,6 +22,9 @@
 const PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
 /// Failures of single connections in a row behind which there is a pause, so that a storm of them starves nothing else.
 const IN_A_ROW: u32 = 16;
+/// A connection that has asked nothing for this long may lose its place, and time between two looks for one.
+const SPARED: Duration = Duration::from_millis(200);
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// How long connections that wait at a listener's end are tried for while they cannot be taken: less than front ends wait.
 const DRAIN_WITHIN: Duration = Duration::from_millis(500);
 
@@ -132,6 +137,43 @@
     while open.join_next().await.is_some() {}
 }
 
+/// Accepts for good, with `most` connections at a time, each of which asks something. Where there is no room for a newcomer,
+/// the connection leaves that has asked nothing for longest; where all have asked, or are newer than [`SPARED`], it waits.
+pub async fn serve_questions<L: Listen, T: 'static>(
+    mut acceptor: Acceptor<L>,
+    most: usize,
+    mut begin: impl FnMut(&mut JoinSet<T>, L::Connection, Seat),
+) {
+    let table = Arc::new(Table::new(SPARED));
+    let mut open = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = acceptor.next() => accepted,
+            Some(_) = open.join_next() => continue,
+        };
+        match accepted {
+            Ok(connection) => {
+                make_room(&mut open, most, &table).await;
+                begin(&mut open, connection, table.enter());
+            }
+            Err(_) if fault_injection::is_active(InjectedFault::AcceptEnds) => break,
+            Err(_) => {}
+        }
+    }
+    while open.join_next().await.is_some() {}
+}
+
+/// Waits for room, with one connection after the other asked to leave.
+async fn make_room<T: 'static>(open: &mut JoinSet<T>, most: usize, table: &Table) {
+    while open.len() >= most {
+        table.make_room();
+        tokio::select! {
+            Some(_) = open.join_next() => {}
+            () = sleep(LOOK_AGAIN) => {}
+        }
+    }
+}
+
 impl Acceptor<TcpListener> {
     /// Those that wait at a listener that is to be closed, as far as the system knows of them: the runtime may not have
     /// heard of them yet, and a close would reset them. The listener is closed when the queue is dropped.
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -86,6 +86,11 @@
         self.put(Standing::Quiet);
     }
 
+    /// The connection has its answer, and may ask something else.
+    pub fn listen(&self) {
+        self.put(Standing::Silent);
+    }
+
     /// A part of a message has come. A connection that works keeps its place anyway.
     pub fn speak(&self) {
         let row = *locked(&self.row);
@@ -106,6 +111,15 @@
     pub async fn lost(&self) {
         self.lost.notified().await;
     }
+
+    /// Serves a connection until it is done, or loses its place.
+    pub async fn serve<T>(&self, connection: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = connection => Some(done),
+            () = self.lost() => None,
+        }
+    }
 }
 
 fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/peers/tell.rs
+++ b/src/peers/tell.rs
@@ -9,6 +9,7 @@
 use log::debug;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::routes::Routes;
@@ -17,8 +18,9 @@
 use crate::frame::{receive_within, send};
 use crate::net::accept::{self, Acceptor};
 use crate::net::connect::Stream;
+use crate::net::table::Seat;
 
-/// Connections served at once; the others wait.
+/// Connections served at once; see [`accept::serve_questions`] for further ones.
 const CONNECTIONS: usize = 8;
 /// A connection that is not done by then is closed.
 const DONE_WITHIN: Duration = Duration::from_secs(5);
@@ -48,30 +50,34 @@
     pub async fn serve(self, listener: TcpListener) {
         let teller = Rc::new(self);
         let acceptor = Acceptor::new("questions about servers", listener);
-        accept::serve(acceptor, CONNECTIONS, move |open, (stream, from): (TcpStream, SocketAddr)| {
-            open.spawn_local(teller.clone().connection(stream, from.ip()));
-        })
-        .await;
+        let begin = move |open: &mut JoinSet<()>, (stream, from): (TcpStream, SocketAddr), seat: Seat| {
+            let teller = teller.clone();
+            open.spawn_local(async move {
+                seat.serve(teller.connection(stream, from.ip(), &seat)).await;
+            });
+        };
+        accept::serve_questions(acceptor, CONNECTIONS, begin).await;
     }
 
     fn may_ask(&self, from: IpAddr) -> bool {
         self.allow.iter().any(|network| network.contains(&from.to_canonical()))
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, from: IpAddr) {
+    async fn connection(&self, stream: TcpStream, from: IpAddr, seat: &Seat) {
         if !self.may_ask(from) {
             return self.exchange.send(Input::Anomaly(Anomaly::StatsQueryForbidden)).await;
         }
         let mut stream = Stream::new(stream);
-        let answered = timeout(DONE_WITHIN, self.answer(&mut stream)).await;
+        let answered = timeout(DONE_WITHIN, self.answer(&mut stream, seat)).await;
         if let Err(bad) = answered.map_err(|_| Bad::Late).and_then(|answered| Ok(answered?)) {
             debug!("a question about servers is not answered: {bad}");
             self.exchange.send(Input::Anomaly(Anomaly::ProtocolError)).await;
         }
     }
 
-    async fn answer(&self, stream: &mut Stream) -> io::Result<()> {
+    async fn answer(&self, stream: &mut Stream, seat: &Seat) -> io::Result<()> {
         let Some(question) = receive_within::<Question>(stream, QUESTION_BYTES).await? else { return Ok(()) };
+        seat.work();
         let told = match question {
             Question { version: VERSION, ask: Subject::Digest } => {
                 Told::Digest(self.routes.digest(&self.name))
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -24,12 +24,14 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
 use crate::frame::{receive, receive_within, send};
 use crate::net::accept::{self, Acceptor};
 use crate::net::connect::{self as connection, Stream};
 use crate::net::errors::Failure;
+use crate::net::table::Seat;
 
 use super::decide::identity::Marked;
 use super::decide::members::Place;
@@ -179,23 +181,29 @@
 /// Serves members and programs beside this one.
 pub(super) async fn serve(listener: &TcpListener, door: Arc<Door>) {
     let acceptor = Acceptor::new("the store", listener);
-    accept::serve(acceptor, CONNECTIONS, move |open, (stream, _): (TcpStream, SocketAddr)| {
-        open.spawn(connection(stream, door.clone()));
-    })
-    .await;
+    let begin = move |open: &mut JoinSet<()>, (stream, _): (TcpStream, SocketAddr), seat: Seat| {
+        let door = door.clone();
+        open.spawn(async move {
+            seat.serve(connection(stream, door, &seat)).await;
+        });
+    };
+    accept::serve_questions(acceptor, CONNECTIONS, begin).await;
 }
 
 /// Tells whoever asks that this member can promise nothing now, and why.
 pub(super) async fn refuse(listener: &TcpListener, number: u64, why: &str) {
-    accept::serve(Acceptor::new("the store", listener), CONNECTIONS, |open, (stream, _)| {
+    let begin = |open: &mut JoinSet<()>, (stream, _): (TcpStream, SocketAddr), seat: Seat| {
         let why = format!("this member of the store takes nothing on: {why}");
-        open.spawn(timeout(IDLE, refuse_one(Stream::new(stream), number, why)));
-    })
-    .await;
+        open.spawn(async move {
+            let _ = seat.serve(timeout(IDLE, refuse_all(Stream::new(stream), number, why, &seat))).await;
+        });
+    };
+    accept::serve_questions(Acceptor::new("the store", listener), CONNECTIONS, begin).await;
 }
 
-async fn refuse_one(mut stream: Stream, number: u64, why: String) -> io::Result<()> {
+async fn refuse_all(mut stream: Stream, number: u64, why: String, seat: &Seat) -> io::Result<()> {
     while let Some(message) = receive::<Message>(&mut stream).await? {
+        seat.work();
         let answer = match message {
             Message::Asked(Query::Status) => Answer::Status(Box::new(Status::blank(number, why.clone()))),
             Message::Asked(_) | Message::Forwarded { .. } => Answer::NotDone(why.clone()),
@@ -203,14 +211,15 @@
             _ => return Ok(()),
         };
         send(&mut stream, &answer).await?;
+        seat.listen();
     }
     Ok(())
 }
 
-async fn connection(stream: TcpStream, door: Arc<Door>) {
+async fn connection(stream: TcpStream, door: Arc<Door>, seat: &Seat) {
     let _ = stream.set_nodelay(true);
     let mut stream = Stream::new(stream);
-    match answer_all(&mut stream, &door).await {
+    match answer_all(&mut stream, &door, seat).await {
         Ok(()) => {}
         // Members drop a link in the middle of a question whenever they give it up.
         Err(problem) if problem.kind() == io::ErrorKind::UnexpectedEof => {}
@@ -218,9 +227,11 @@
     }
 }
 
-async fn answer_all(stream: &mut Stream, door: &Arc<Door>) -> io::Result<()> {
+async fn answer_all(stream: &mut Stream, door: &Arc<Door>, seat: &Seat) -> io::Result<()> {
     while let Some(message) = timeout(IDLE, receive(stream)).await?? {
+        seat.work();
         timeout(IDLE, answer_one(stream, door, message)).await??;
+        seat.listen();
     }
     Ok(())
 }
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -3,6 +3,7 @@
 mod rig;
 mod support;
 
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use rig::schedule::{Play, play};
@@ -425,6 +426,24 @@
     });
 }
 
+/// Guards against connections that say nothing keeping programs and members from being heard until they are closed.
+#[rstest]
+fn connections_that_say_nothing_keep_nobody_from_a_member() {
+    let mut rig = Rig::new(3);
+    rig.form(3);
+    let leader = rig.led(&[1, 2, 3]);
+    let rest = others(leader, &[1, 2, 3]);
+    let silent: Vec<TcpStream> =
+        (0..128).map(|_| TcpStream::connect(rig.address(rest[0])).expect("a connection")).collect();
+    let began = Instant::now();
+    assert!(rig.set(rest[0], "a", "one").is_ok());
+    assert!(began.elapsed() < Duration::from_millis(2_500), "written after {:?}", began.elapsed());
+    // The next candidate has to reach it.
+    rig.kill(leader);
+    rig.led(&rest);
+    drop(silent);
+}
+
 #[rstest]
 fn a_flapping_link_stops_no_write_for_long() {
     let mut rig = Rig::new(3);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -8,7 +8,7 @@
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -239,6 +239,18 @@
     play.node.logged("1 queries for server statistics from addresses without permission");
 }
 
+/// Guards against a few connections that say nothing keeping all others from being answered until they are closed.
+#[rstest]
+fn connections_that_say_nothing_delay_no_question_about_servers() {
+    let play = Play::start(&(table(&[&nobody()]) + &knowledge(&[])));
+    let silent: Vec<TcpStream> =
+        (0..32).map(|_| TcpStream::connect(&play.told).expect("a connection")).collect();
+    let began = Instant::now();
+    play.beliefs();
+    assert!(began.elapsed() < Duration::from_millis(2_500), "answered after {:?}", began.elapsed());
+    drop(silent);
+}
+
 #[rstest]
 fn servers_change_on_sighup_and_a_bad_list_changes_nothing() {
     let (old, new) = (Server::after_ms(1), Server::after_ms(1));
