--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -138,7 +138,7 @@
 }
 
 /// Accepts for good, with `most` connections at a time, each of which asks something. Where there is no room for a newcomer,
-/// the connection leaves that has asked nothing for longest; where all have asked, or are newer than [`SPARED`], it waits.
+/// the connection leaves that has asked nothing for longest; where all have asked, or are newer than 200 ms, it waits.
 pub async fn serve_questions<L: Listen, T: 'static>(
     mut acceptor: Acceptor<L>,
     most: usize,
